Whole path, thin: daemon, decision library, command-line tool, stand-ins

A search goes from a caller over HTTP to a coordinator, over Cap'n Proto RPC to the owners of the replicas, over HTTP to the backend servers and back; a submission runs under a permit. Decisions are one library without I/O.

--- /dev/null
+++ b/src/connection/latency_quantile.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/// Running quantile of a latency over the last two windows.
+
+#include "limpettrestle/limpettrestle.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+namespace limpettrestle {
+
+class LatencyQuantile {
+public:
+    explicit LatencyQuantile(double quantile)
+        : quantile_(quantile)
+        , window_(boost::accumulators::quantile_probability = quantile)
+    {
+    }
+
+    void add(Micros latency)
+    {
+        window_(static_cast<double>(latency.count()));
+        if (++count_ < kWindow)
+            return;
+        last_ = Micros(static_cast<int64_t>(boost::accumulators::p_square_quantile(window_)));
+        hasLast_ = true;
+        window_ = Accumulator(boost::accumulators::quantile_probability = quantile_);
+        count_ = 0;
+    }
+
+    /// The quantile of the last full window; `fallback` before the first.
+    Micros value(Micros fallback) const { return hasLast_ ? last_ : fallback; }
+    double quantile() const { return quantile_; }
+
+private:
+    using Accumulator = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+    static constexpr int kWindow = 512;
+
+    double quantile_;
+    Accumulator window_;
+    int count_ = 0;
+    bool hasLast_ = false;
+    Micros last_ { 0 };
+};
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/connection/replica_owner.cpp
@@ -0,0 +1,598 @@
+#include "replica_owner.h"
+
+#include <algorithm>
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Wait past a call's deadline before its slot counts as free again.
+    constexpr Millis kCallGrace { 20 };
+    /// Time during which a server that has just started gets one call at a time.
+    constexpr Millis kColdTime { 300 };
+    constexpr int kServiceTimeWeight = 8;
+    constexpr double kAdaptiveRaise = 0.05;
+
+    bool isPast(TimePoint time, TimePoint now) { return time <= now; }
+
+} // namespace
+
+ReplicaOwner::ReplicaOwner(const Links& links)
+    : context_(links.context)
+    , sender_(links.sender)
+    , membership_(links.membership)
+    , ownership_(links.ownership)
+    , drains_(links.drains)
+    , listener_(links.listener)
+    , startedAt_(links.context.now())
+{
+}
+
+void ReplicaOwner::onConfig(FleetConfigPtr config)
+{
+    std::vector<ReplicaId> gone;
+    for (auto& [id, replica] : replicas_) {
+        const ReplicaConfig* next = config->findReplica(id);
+        const bool isSame = next && next->address == replica->config->address;
+        if (isSame) {
+            replica->config = next;
+            replica->queue.setPriorityOrder(config->policy.priorityQueue);
+            continue;
+        }
+        refuseQueued(*replica, ResultCode::ShardNotHeld);
+        gone.push_back(id);
+    }
+    for (const ReplicaId id : gone)
+        replicas_.erase(id);
+    config_ = std::move(config);
+    onViewChanged();
+}
+
+void ReplicaOwner::onViewChanged()
+{
+    if (!config_)
+        return;
+    for (const auto& [id, replicaConfig] : config_->replicaIndex) {
+        const bool isOwn = replicaConfig->zone == context_.zone && ownership_.find(id, context_.zone).owner == context_.self;
+        if (!isOwn && !replicas_.contains(id))
+            continue;
+        Replica& replica = *find(id);
+        if (replica.isOwn == isOwn)
+            continue;
+        replica.isOwn = isOwn;
+        if (isOwn) {
+            replica.reducedUntil = context_.now() + config::kHandoverTime;
+            ++context_.stats.ownershipMoves;
+        } else if (config_->policy.routing == RoutingPolicy::Owner) {
+            refuseQueued(replica, ResultCode::NotOwner);
+        }
+    }
+}
+
+void ReplicaOwner::onExecute(InstanceId from, const ExecuteBatch& batch)
+{
+    auto share = std::make_shared<BatchShare>();
+    *share = { batch.service, batch.snapshot, batch.mapVersion, batch.limit, batch.query };
+    for (const ExecuteItem& item : batch.items) {
+        QueuedCall call;
+        call.coordinator = from;
+        call.request = batch.request;
+        call.attempt = item.attempt;
+        call.shard = item.shard;
+        call.replica = item.replica;
+        call.priority = batch.priority;
+        call.hedge = item.hedge;
+        call.deadline = context_.now() + batch.budget;
+        call.share = share;
+        Replica* replica = find(item.replica);
+        if (!replica) {
+            refuse(nullptr, call, ResultCode::ShardNotHeld);
+            continue;
+        }
+        enqueue(*replica, std::move(call), item.deputy);
+    }
+}
+
+void ReplicaOwner::onCancel(const CancelBatch& cancel)
+{
+    for (const uint32_t attempt : cancel.attempts) {
+        for (auto& [id, replica] : replicas_) {
+            if (replica->queue.size() > 0 && replica->queue.remove(cancel.request, attempt))
+                break;
+        }
+        for (auto& [id, call] : calls_) {
+            if (call.item.request != cancel.request || call.item.attempt != attempt || call.cancelled)
+                continue;
+            call.cancelled = true;
+            const ReplicaConfig* replica = config_ ? config_->findReplica(call.item.replica) : nullptr;
+            if (replica)
+                context_.actions->push_back(CancelBackend { id, replica->address, { cancel.request, attempt } });
+            break;
+        }
+    }
+}
+
+void ReplicaOwner::onSlotRequest(InstanceId from, const SlotRequest& request)
+{
+    QueuedCall call;
+    call.kind = CallKind::SlotLoan;
+    call.coordinator = from;
+    call.request = request.request;
+    call.replica = request.replica;
+    call.priority = PriorityClass::Urgent;
+    call.deadline = context_.now() + request.budget;
+    Replica* replica = find(request.replica);
+    if (!replica) {
+        refuse(nullptr, call, ResultCode::ShardNotHeld);
+        return;
+    }
+    enqueue(*replica, std::move(call), false);
+}
+
+void ReplicaOwner::onSlotRelease(InstanceId from, const SlotRelease& release)
+{
+    Replica* replica = find(release.replica);
+    if (!replica)
+        return;
+    const auto it = std::find_if(replica->loans.begin(), replica->loans.end(), [&](const Replica::Loan& loan) {
+        return loan.borrower == from && loan.request == release.request;
+    });
+    if (it == replica->loans.end())
+        return;
+    replica->loans.erase(it);
+    pump(*replica);
+}
+
+bool ReplicaOwner::onBackendReplied(BackendCallId id, const BackendReply& reply)
+{
+    if (onPreflightEnded(id, &reply))
+        return true;
+    const auto it = calls_.find(id);
+    if (it == calls_.end())
+        return false;
+    const Call& call = it->second;
+    Replica* replica = find(call.item.replica);
+    if (replica) {
+        const auto took = std::chrono::duration_cast<Micros>(context_.now() - call.sentAt);
+        if (reply.code == ResultCode::Ok)
+            replica->serviceTime += (took - replica->serviceTime) / kServiceTimeWeight;
+        if (reply.code == ResultCode::ServerShed)
+            replica->adaptiveLimit = std::max(1.0, replica->adaptiveLimit / 2);
+        else
+            replica->adaptiveLimit = std::min<double>(replica->config->slots, replica->adaptiveLimit + kAdaptiveRaise);
+        noteServer(*replica, reply);
+    }
+    ExecuteItemResult result;
+    result.sent = true;
+    result.code = reply.code;
+    result.snapshot = reply.snapshot;
+    result.mapVersion = reply.mapVersion;
+    result.oldestSnapshot = reply.oldestSnapshot;
+    result.newestSnapshot = reply.newestSnapshot;
+    result.body = reply.body;
+    const AttemptId asked { call.item.request, call.item.attempt };
+    if (reply.code == ResultCode::Ok && reply.attempt != asked)
+        result.code = ResultCode::ForeignReply;
+    else if (reply.code == ResultCode::Ok && reply.shard != call.item.shard)
+        result.code = ResultCode::WrongShard;
+    finishCall(id, std::move(result));
+    return true;
+}
+
+bool ReplicaOwner::onBackendFailed(BackendCallId id, ResultCode code, bool sent)
+{
+    if (onPreflightEnded(id, nullptr))
+        return true;
+    const auto it = calls_.find(id);
+    if (it == calls_.end())
+        return false;
+    Replica* replica = find(it->second.item.replica);
+    if (replica && !it->second.cancelled)
+        noteDown(*replica);
+    ExecuteItemResult result;
+    result.sent = sent;
+    result.code = code;
+    finishCall(id, std::move(result));
+    return true;
+}
+
+void ReplicaOwner::onDrained(ReplicaId id)
+{
+    const auto it = replicas_.find(id);
+    if (it == replicas_.end())
+        return;
+    it->second->recheckAt = context_.now() + config::kRecheckInterval;
+    refuseQueued(*it->second, ResultCode::ServerDraining);
+}
+
+void ReplicaOwner::forgetAll()
+{
+    for (auto& [id, replica] : replicas_) {
+        refuseQueued(*replica, ResultCode::StaleMessage);
+        replica->hasEvidence = false;
+        replica->loans.clear();
+        replica->reducedUntil = context_.now() + config::kHandoverTime;
+    }
+}
+
+void ReplicaOwner::tick()
+{
+    const TimePoint now = context_.now();
+    expireCalls();
+    std::vector<BackendCallId> lost;
+    for (auto& [id, replica] : replicas_) {
+        expireLoans(*replica);
+        for (const QueuedCall& call : replica->queue.takeExpired(now))
+            refuse(replica.get(), call, ResultCode::AttemptTimeout);
+        if (replica->preflight.isValid() && isPast(replica->preflightUntil, now))
+            lost.push_back(replica->preflight);
+        const bool isRechecked = replica->isOwn && (drains_.isDrained(id) || replica->failures > 0);
+        if (isRechecked && !replica->preflight.isValid() && isPast(replica->recheckAt, now))
+            startPreflight(*replica);
+        if (replica->queue.size() > 0)
+            pump(*replica);
+    }
+    for (const BackendCallId call : lost)
+        onPreflightEnded(call, nullptr);
+}
+
+TimePoint ReplicaOwner::nextWakeup() const
+{
+    return context_.now() + (calls_.empty() && queued() == 0 ? config::kTickInterval : Millis(10));
+}
+
+void ReplicaOwner::flush()
+{
+    std::vector<Pending> outbox;
+    outbox.swap(outbox_);
+    for (Pending& pending : outbox)
+        sender_.sendPeer(pending.coordinator, std::move(pending.results));
+}
+
+BackendCallId ReplicaOwner::nextCallId()
+{
+    return { ++lastCall_ };
+}
+
+size_t ReplicaOwner::queued() const
+{
+    size_t total = 0;
+    for (const auto& [id, replica] : replicas_)
+        total += replica->queue.size();
+    return total;
+}
+
+size_t ReplicaOwner::loans() const
+{
+    size_t total = 0;
+    for (const auto& [id, replica] : replicas_)
+        total += replica->loans.size();
+    return total;
+}
+
+size_t ReplicaOwner::ownedReplicas() const
+{
+    return static_cast<size_t>(std::count_if(replicas_.begin(), replicas_.end(), [](const auto& entry) { return entry.second->isOwn; }));
+}
+
+ReplicaOwner::Replica* ReplicaOwner::find(ReplicaId id)
+{
+    const auto it = replicas_.find(id);
+    if (it != replicas_.end())
+        return it->second.get();
+    const ReplicaConfig* replicaConfig = config_ ? config_->findReplica(id) : nullptr;
+    if (!replicaConfig)
+        return nullptr;
+    auto replica = std::make_unique<Replica>();
+    replica->config = replicaConfig;
+    replica->queue.setPriorityOrder(config_->policy.priorityQueue);
+    return replicas_.emplace(id, std::move(replica)).first->second.get();
+}
+
+bool ReplicaOwner::mayServe(const ReplicaConfig& replica, bool deputy, InstanceId& ownerHint)
+{
+    if (config_->policy.routing != RoutingPolicy::Owner)
+        return true;
+    if (replica.zone != context_.zone)
+        return false;
+    const Owners owners = ownership_.find(replica.id, replica.zone);
+    ownerHint = owners.owner;
+    return owners.owner == context_.self || (deputy && owners.deputy == context_.self);
+}
+
+void ReplicaOwner::enqueue(Replica& replica, QueuedCall call, bool deputy)
+{
+    InstanceId ownerHint;
+    if (!mayServe(*replica.config, deputy, ownerHint)) {
+        refuse(&replica, call, ResultCode::NotOwner, ownerHint);
+        return;
+    }
+    if (drains_.isDrained(call.replica)) {
+        refuse(&replica, call, ResultCode::ServerDraining);
+        return;
+    }
+    if (replica.downUntil > context_.now()) {
+        refuse(&replica, call, ResultCode::ConnectFailed);
+        return;
+    }
+    const Micros wait = predictedWait(replica, call.priority);
+    if (call.hedge && wait.count() > 0) {
+        refuse(&replica, call, ResultCode::SlotUnavailable);
+        return;
+    }
+    if (context_.now() + wait + replica.serviceTime / 2 > call.deadline) {
+        refuse(&replica, call, ResultCode::PredictedWaitExceedsDeadline);
+        return;
+    }
+    const QueuedCall copy = call;
+    if (!replica.queue.push(std::move(call))) {
+        refuse(&replica, copy, ResultCode::Overloaded);
+        return;
+    }
+    pump(replica);
+}
+
+void ReplicaOwner::pump(Replica& replica)
+{
+    while (replica.queue.size() > 0 && replica.inUse + replica.loans.size() < allowedSlots(replica)) {
+        if (!isTrusted(replica))
+            return;
+        std::optional<QueuedCall> call = replica.queue.pop();
+        if (isPast(call->deadline, context_.now())) {
+            refuse(&replica, *call, ResultCode::AttemptTimeout);
+            continue;
+        }
+        if (call->kind == CallKind::SlotLoan)
+            lend(replica, *call);
+        else
+            send(replica, std::move(*call));
+    }
+}
+
+bool ReplicaOwner::isTrusted(Replica& replica)
+{
+    const bool isFresh = replica.hasEvidence && context_.now() - replica.evidenceAt < config::kEvidenceLease;
+    if (isFresh)
+        return true;
+    if (!replica.preflight.isValid())
+        startPreflight(replica);
+    return false;
+}
+
+void ReplicaOwner::send(Replica& replica, QueuedCall call)
+{
+    const TimePoint now = context_.now();
+    CallBackend action;
+    action.call = nextCallId();
+    action.replica = replica.config->id;
+    action.address = replica.config->address;
+    action.request.operation = BackendOperation::Search;
+    action.request.attempt = { call.request, call.attempt };
+    action.request.service = call.share->service;
+    action.request.shard = call.shard;
+    action.request.snapshot = call.share->snapshot;
+    action.request.mapVersion = call.share->mapVersion;
+    action.request.limit = call.share->limit;
+    action.request.budget = std::chrono::duration_cast<Micros>(call.deadline - now);
+    action.request.body = call.share->query;
+    ++replica.inUse;
+    ++context_.stats.subRequestsSent;
+    calls_.emplace(action.call, Call { std::move(call), now, false });
+    context_.actions->push_back(std::move(action));
+}
+
+void ReplicaOwner::lend(Replica& replica, const QueuedCall& call)
+{
+    replica.loans.push_back({ call.coordinator, call.request, call.deadline + kCallGrace });
+    sender_.sendPeer(call.coordinator, SlotReply { call.request, call.replica, ResultCode::Ok, Micros(0), {} });
+}
+
+void ReplicaOwner::startPreflight(Replica& replica)
+{
+    CallBackend action;
+    action.call = nextCallId();
+    action.replica = replica.config->id;
+    action.address = replica.config->address;
+    action.request.operation = BackendOperation::Preflight;
+    action.request.service = replica.config->service;
+    action.request.shard = replica.config->shard;
+    action.request.budget = config::kPreflightTimeout;
+    replica.preflight = action.call;
+    replica.preflightUntil = context_.now() + config::kPreflightTimeout;
+    replica.recheckAt = context_.now() + config::kRecheckInterval;
+    preflights_.emplace(action.call, replica.config->id);
+    ++context_.stats.preflights;
+    context_.actions->push_back(std::move(action));
+}
+
+bool ReplicaOwner::onPreflightEnded(BackendCallId call, const BackendReply* reply)
+{
+    const auto it = preflights_.find(call);
+    if (it == preflights_.end())
+        return false;
+    Replica* replica = find(it->second);
+    preflights_.erase(it);
+    if (!replica || replica->preflight != call)
+        return true;
+    replica->preflight = {};
+    if (!reply) {
+        noteDown(*replica);
+        return true;
+    }
+    noteServer(*replica, *reply);
+    pump(*replica);
+    return true;
+}
+
+void ReplicaOwner::noteServer(Replica& replica, const BackendReply& reply)
+{
+    const ReplicaId id = replica.config->id;
+    noteUp(replica);
+    if (reply.serverIncarnation > replica.serverIncarnation) {
+        if (replica.serverIncarnation != 0)
+            replica.coldUntil = context_.now() + kColdTime;
+        replica.serverIncarnation = reply.serverIncarnation;
+    }
+    if (reply.draining) {
+        replica.hasEvidence = false;
+        listener_.onServerDraining(id, reply.serverIncarnation);
+        return;
+    }
+    if (drains_.noteServing(id, reply.serverIncarnation)) {
+        TimelineEvent event;
+        event.kind = TimelineKind::ServerReturned;
+        event.subject = replica.config->name;
+        event.number = reply.serverIncarnation;
+        context_.record(std::move(event));
+    }
+    if (!drains_.isDrained(id)) {
+        replica.hasEvidence = true;
+        replica.evidenceAt = context_.now();
+    }
+}
+
+void ReplicaOwner::noteDown(Replica& replica)
+{
+    const Millis pause = std::min(config::kReplicaBackoffMax, config::kReplicaBackoffMin * (1 << std::min(replica.failures, 5U)));
+    ++replica.failures;
+    replica.hasEvidence = false;
+    replica.downUntil = context_.now() + pause;
+    replica.recheckAt = replica.downUntil;
+    if (replica.failures == 1) {
+        TimelineEvent event;
+        event.kind = TimelineKind::ReplicaDown;
+        event.subject = replica.config->name;
+        context_.record(std::move(event));
+    }
+    refuseQueued(replica, ResultCode::ConnectFailed);
+}
+
+void ReplicaOwner::noteUp(Replica& replica)
+{
+    replica.downUntil = {};
+    if (replica.failures == 0)
+        return;
+    replica.failures = 0;
+    TimelineEvent event;
+    event.kind = TimelineKind::ReplicaUp;
+    event.subject = replica.config->name;
+    context_.record(std::move(event));
+}
+
+uint32_t ReplicaOwner::allowedSlots(const Replica& replica) const
+{
+    const uint32_t slots = replica.config->slots;
+    const uint32_t half = std::max(1U, slots / 2);
+    switch (config_->policy.routing) {
+    case RoutingPolicy::Direct:
+        return std::max(1U, slots / std::max(1U, static_cast<uint32_t>(membership_.members().size())));
+    case RoutingPolicy::Adaptive:
+        return static_cast<uint32_t>(replica.adaptiveLimit);
+    case RoutingPolicy::Owner:
+        break;
+    }
+    if (replica.coldUntil > context_.now())
+        return 1;
+    // Others may not have settled on this instance yet.
+    const TimePoint joined = startedAt_ + config_->policy.settle + config::kHandoverTime;
+    const bool isReduced = !replica.isOwn || joined > context_.now() || replica.reducedUntil > context_.now() || ownership_.isDisputed(replica.config->id);
+    return isReduced ? half : slots;
+}
+
+Micros ReplicaOwner::predictedWait(const Replica& replica, PriorityClass priority) const
+{
+    const uint32_t slots = allowedSlots(replica);
+    const auto used = static_cast<uint32_t>(replica.inUse + replica.loans.size());
+    const double ahead = replica.queue.aheadOf(priority);
+    if (used < slots && ahead < 1.0)
+        return Micros(0);
+    const double turns = (ahead + 0.5) / slots;
+    return Micros(static_cast<int64_t>(turns * static_cast<double>(replica.serviceTime.count())));
+}
+
+void ReplicaOwner::refuse(const Replica* replica, const QueuedCall& call, ResultCode code, InstanceId ownerHint)
+{
+    ++context_.stats.refusedByOwner;
+    const Micros wait = replica ? predictedWait(*replica, call.priority) : Micros(0);
+    if (call.kind == CallKind::SlotLoan) {
+        sender_.sendPeer(call.coordinator, SlotReply { call.request, call.replica, code, wait, ownerHint });
+        return;
+    }
+    ExecuteItemResult result;
+    result.attempt = call.attempt;
+    result.shard = call.shard;
+    result.replica = call.replica;
+    result.code = code;
+    result.predictedWait = wait;
+    result.ownerHint = ownerHint;
+    report(call.coordinator, call.request, std::move(result));
+}
+
+void ReplicaOwner::refuseQueued(Replica& replica, ResultCode code)
+{
+    for (const QueuedCall& call : replica.queue.takeAll())
+        refuse(&replica, call, code);
+}
+
+void ReplicaOwner::report(InstanceId coordinator, RequestId request, ExecuteItemResult result)
+{
+    for (Pending& pending : outbox_) {
+        if (pending.coordinator == coordinator && pending.results.request == request) {
+            pending.results.items.push_back(std::move(result));
+            return;
+        }
+    }
+    Pending pending { coordinator, { request, {} } };
+    pending.results.items.push_back(std::move(result));
+    outbox_.push_back(std::move(pending));
+}
+
+void ReplicaOwner::finishCall(BackendCallId id, ExecuteItemResult result)
+{
+    const auto it = calls_.find(id);
+    const Call call = std::move(it->second);
+    calls_.erase(it);
+    Replica* replica = find(call.item.replica);
+    if (replica && replica->inUse > 0)
+        --replica->inUse;
+    result.attempt = call.item.attempt;
+    result.shard = call.item.shard;
+    result.replica = call.item.replica;
+    if (replica)
+        result.predictedWait = predictedWait(*replica, call.item.priority);
+    if (!call.cancelled)
+        report(call.item.coordinator, call.item.request, std::move(result));
+    if (replica)
+        pump(*replica);
+}
+
+void ReplicaOwner::expireCalls()
+{
+    const TimePoint now = context_.now();
+    std::vector<BackendCallId> expired;
+    for (const auto& [id, call] : calls_) {
+        if (isPast(call.item.deadline + kCallGrace, now))
+            expired.push_back(id);
+    }
+    std::sort(expired.begin(), expired.end());
+    for (const BackendCallId id : expired) {
+        const Call& call = calls_.at(id);
+        Replica* replica = find(call.item.replica);
+        if (replica) {
+            context_.actions->push_back(CancelBackend { id, replica->config->address, { call.item.request, call.item.attempt } });
+            replica->hasEvidence = false;
+        }
+        ExecuteItemResult result;
+        result.sent = true;
+        result.code = ResultCode::AttemptTimeout;
+        finishCall(id, std::move(result));
+    }
+}
+
+void ReplicaOwner::expireLoans(Replica& replica)
+{
+    const TimePoint now = context_.now();
+    std::erase_if(replica.loans, [&](const Replica::Loan& loan) { return isPast(loan.until, now); });
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/ctl/request_commands.cpp
@@ -0,0 +1,100 @@
+/// Commands that send a caller's request.
+
+#include "commands.h"
+
+#include <iostream>
+
+namespace limpettrestle::ctl {
+
+namespace {
+
+    using nlohmann::json;
+
+    void printAnswer(const json& answer)
+    {
+        std::cout << "request   " << answer.value("request_id", "-") << "\n"
+                  << "outcome   " << answer.value("outcome", "-") << " (" << answer.value("code", 0) << " " << answer.value("result", "-") << ")\n";
+        if (answer.contains("meaning"))
+            std::cout << "          " << answer["meaning"].get<std::string>() << "\n";
+        if (answer.contains("detail"))
+            std::cout << "detail    " << answer["detail"].get<std::string>() << "\n";
+        if (answer.contains("retry_after_ms"))
+            std::cout << "retry     after " << answer["retry_after_ms"] << " ms\n";
+        if (answer.contains("permit"))
+            std::cout << "permit    " << answer["permit"].get<std::string>() << "\n";
+        if (answer.contains("body"))
+            std::cout << "body      " << answer["body"].get<std::string>() << "\n";
+        if (!answer.contains("coverage"))
+            return;
+        const json& coverage = answer["coverage"];
+        std::cout << "snapshot  " << answer["snapshot"] << ", partition map " << answer["map_version"] << ", configuration " << answer["config_version"] << "\n"
+                  << "coverage  " << coverage["answered"] << " of " << coverage["shards"] << " shards"
+                  << (coverage["complete"].get<bool>() ? ", complete" : ", PARTIAL") << "\n";
+        for (const json& missing : coverage["missing"])
+            std::cout << "  missing shard " << missing["shard"] << ": " << missing["code"] << " " << missing["reason"].get<std::string>() << "\n";
+        for (const json& row : answer["rows"])
+            std::cout << "  " << row["score"] << "  " << row["id"].get<std::string>() << "\n";
+    }
+
+    /// Sends to each instance in turn until one answers. A request that may have been taken in is
+    /// not sent again when `isRepeatable` is false.
+    CallResult sendToAny(const CommandLine& line, const std::string& path, const json& body, bool isRepeatable)
+    {
+        CallResult result;
+        result.code = ResultCode::PeerUnreachable;
+        for (const Endpoint& endpoint : line.callers) {
+            result = post(endpoint, path, body);
+            if (result.code == ResultCode::Ok || !isRepeatable)
+                return result;
+        }
+        return result;
+    }
+
+    ExitCode report(const CommandLine& line, const CallResult& result)
+    {
+        if (result.code != ResultCode::Ok || result.body.is_discarded()) {
+            std::cerr << "error " << static_cast<int>(ResultCode::PeerUnreachable) << " peer_unreachable: no instance answered\n";
+            return ExitCode::Unreachable;
+        }
+        if (line.json)
+            std::cout << result.body.dump() << "\n";
+        else
+            printAnswer(result.body);
+        return result.body.value("code", 1) == 0 ? ExitCode::Ok : ExitCode::NotAsAsked;
+    }
+
+} // namespace
+
+ExitCode runSearch(const CommandLine& line)
+{
+    if (line.service.empty())
+        return usageError("search needs --service");
+    json body = { { "service", line.service }, { "query", line.query }, { "limit", line.limit }, { "min_coverage", line.minCoverage } };
+    if (line.deadlineMs > 0)
+        body["deadline_ms"] = line.deadlineMs;
+    if (!line.priority.empty())
+        body["class"] = line.priority;
+    return report(line, sendToAny(line, "/v1/search", body, true));
+}
+
+ExitCode runPermit(const CommandLine& line)
+{
+    if (line.service.empty() || line.key.empty())
+        return usageError("permit needs --service and --key");
+    return report(line, sendToAny(line, "/v1/permit", { { "service", line.service }, { "key", line.key } }, true));
+}
+
+ExitCode runSubmit(const CommandLine& line)
+{
+    if (line.service.empty() || line.key.empty())
+        return usageError("submit needs --service and --key");
+    json body = { { "service", line.service }, { "key", line.key }, { "body", line.body } };
+    if (!line.permit.empty())
+        body["permit"] = line.permit;
+    if (line.deadlineMs > 0)
+        body["deadline_ms"] = line.deadlineMs;
+    // With a permit the tier itself keeps a second try from running twice.
+    return report(line, sendToAny(line, "/v1/submit", body, !line.permit.empty()));
+}
+
+} // namespace limpettrestle::ctl
--- /dev/null
+++ b/src/process/ownership.cpp
@@ -0,0 +1,74 @@
+#include "ownership.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace limpettrestle {
+
+namespace {
+
+    uint64_t score(uint64_t item, InstanceId instance)
+    {
+        const uint64_t words[] = { item, instance.value };
+        return XXH3_64bits(words, sizeof(words));
+    }
+
+} // namespace
+
+Owners Ownership::find(ReplicaId replica, ZoneId zone)
+{
+    if (cachedVersion_ != membership_.viewVersion()) {
+        cache_.clear();
+        cachedVersion_ = membership_.viewVersion();
+    }
+    const auto cached = cache_.find(replica);
+    if (cached != cache_.end())
+        return cached->second;
+    Owners owners;
+    uint64_t best = 0;
+    uint64_t second = 0;
+    for (const InstanceId id : membership_.zoneView(zone)) {
+        const uint64_t value = score(replica.value, id);
+        if (!owners.owner.isValid() || value > best) {
+            owners.deputy = owners.owner;
+            second = best;
+            owners.owner = id;
+            best = value;
+        } else if (!owners.deputy.isValid() || value > second) {
+            owners.deputy = id;
+            second = value;
+        }
+    }
+    cache_.emplace(replica, owners);
+    return owners;
+}
+
+bool Ownership::isDisputed(ReplicaId replica) const
+{
+    const uint64_t own = score(replica.value, context_.self);
+    uint64_t nextLive = 0;
+    for (const InstanceId id : membership_.zoneView(context_.zone)) {
+        const uint64_t value = score(replica.value, id);
+        if (value < own && value > nextLive)
+            nextLive = value;
+    }
+    for (const InstanceId id : membership_.disputedZoneMembers()) {
+        if (score(replica.value, id) > nextLive)
+            return true;
+    }
+    return false;
+}
+
+uint32_t Ownership::rankFor(std::string_view duty) const
+{
+    const uint64_t item = hashName(duty);
+    const uint64_t own = score(item, context_.self);
+    uint32_t rank = 0;
+    for (const InstanceId id : membership_.zoneView(context_.zone)) {
+        if (id != context_.self && score(item, id) > own)
+            ++rank;
+    }
+    return rank;
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/request/replica_view.cpp
@@ -0,0 +1,43 @@
+#include "replica_view.h"
+
+#include <cmath>
+
+namespace limpettrestle {
+
+namespace {
+
+    constexpr int kLatencyWeight = 5;
+    constexpr std::chrono::seconds kFadeTime { 3 };
+
+} // namespace
+
+void ReplicaViews::onAnswered(ReplicaId id, Micros latency, Micros predictedWait, TimePoint now)
+{
+    ReplicaSight& sight = sights_[id];
+    sight.latency = sight.latency.count() == 0 ? latency : sight.latency + (latency - sight.latency) / kLatencyWeight;
+    sight.predictedWait = predictedWait;
+    sight.updated = now;
+}
+
+void ReplicaViews::onSlow(ReplicaId id, Micros age, TimePoint now)
+{
+    ReplicaSight& sight = sights_[id];
+    sight.latency = std::max(sight.latency, age);
+    sight.updated = now;
+}
+
+Micros ReplicaViews::expected(ReplicaId id, Micros typical, TimePoint now) const
+{
+    const auto it = sights_.find(id);
+    if (it == sights_.end() || it->second.latency.count() == 0)
+        return typical;
+    const ReplicaSight& sight = it->second;
+    const double age = std::chrono::duration<double>(now - sight.updated) / kFadeTime;
+    const double weight = std::exp(-age);
+    const double seen = static_cast<double>(sight.latency.count());
+    const double queue = static_cast<double>(sight.predictedWait.count()) * std::exp(-50 * age);
+    const double blended = weight * seen + (1 - weight) * static_cast<double>(typical.count()) + queue;
+    return Micros(static_cast<int64_t>(blended * (1.0 + 0.5 * sight.inFlight)));
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/request/replica_view.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// What a coordinator has seen of each replica, from replies only: reported loads mislead.
+
+#include "../config.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace limpettrestle {
+
+struct ReplicaSight {
+    /// Smoothed latency of answered attempts.
+    Micros latency { 0 };
+    /// Owner's last prediction of the wait.
+    Micros predictedWait { 0 };
+    TimePoint updated {};
+    /// Attempts of this instance in flight.
+    uint32_t inFlight = 0;
+    /// Not tried before then.
+    TimePoint avoidUntil {};
+};
+
+class ReplicaViews {
+public:
+    ReplicaSight& at(ReplicaId id) { return sights_[id]; }
+
+    void onAnswered(ReplicaId id, Micros latency, Micros predictedWait, TimePoint now);
+    /// An attempt went unanswered for `age`; counts as a latency of at least that.
+    void onSlow(ReplicaId id, Micros age, TimePoint now);
+
+    /// Expected time of a new attempt; falls back towards the typical one as it gets old, so that
+    /// a replica that was slow is tried again.
+    Micros expected(ReplicaId id, Micros typical, TimePoint now) const;
+
+private:
+    absl::flat_hash_map<ReplicaId, ReplicaSight> sights_;
+};
+
+} // namespace limpettrestle
--- /dev/null
+++ b/standins/platform_main.cpp
@@ -0,0 +1,227 @@
+/// Stand-in for the platform: published entries with revisions, reads and watches, a read rate
+/// limit, and faults (down, stale, gone back).
+///
+/// Readers: GET /v1/entries?prefix=P&newer_than=R&wait_ms=W.
+/// Operators (tests and demo only): POST /v1/publish {key, value} or {key, delete: true};
+/// POST /v1/fault {down, stale, back_to, rate_limit}; GET /v1/counts.
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <cxxopts.hpp>
+#include <httplib.h>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kMaxValueBytes = 1 << 20;
+
+struct Entry {
+    uint64_t revision = 0;
+    std::string value;
+    bool deleted = false;
+};
+
+/// All entries, with what is needed to serve an older state.
+class Store {
+public:
+    /// Returns the revision, or zero when the value is too large.
+    uint64_t publish(const std::string& key, std::string value, bool deleted)
+    {
+        if (value.size() > kMaxValueBytes)
+            return 0;
+        absl::MutexLock lock(&mutex_);
+        entries_[key] = { ++revision_, std::move(value), deleted };
+        log_.push_back({ key, entries_[key] });
+        return revision_;
+    }
+
+    json read(const std::string& prefix, uint64_t newerThan, absl::Duration wait)
+    {
+        absl::MutexLock lock(&mutex_);
+        const absl::Time until = absl::Now() + wait;
+        while (!hasNews(prefix, newerThan) && absl::Now() < until)
+            waitBriefly(until);
+        // A reader that is ahead of this state gets all of it.
+        const uint64_t newest = newestOf(prefix);
+        const uint64_t from = newerThan > newest ? 0 : newerThan;
+        json out;
+        out["revision"] = newest;
+        out["entries"] = json::array();
+        for (const auto& [key, entry] : entries_) {
+            const bool isMeant = key.compare(0, prefix.size(), prefix) == 0 && entry.revision > from && entry.revision <= visible();
+            if (isMeant)
+                out["entries"].push_back({ { "key", key }, { "revision", entry.revision }, { "value", entry.value }, { "deleted", entry.deleted } });
+        }
+        std::sort(out["entries"].begin(), out["entries"].end(), [](const json& a, const json& b) { return a["revision"] < b["revision"]; });
+        return out;
+    }
+
+    void setStale(bool stale)
+    {
+        absl::MutexLock lock(&mutex_);
+        staleAt_ = stale ? revision_ : 0;
+    }
+
+    /// Forgets everything newer than the revision.
+    void goBack(uint64_t revision)
+    {
+        absl::MutexLock lock(&mutex_);
+        entries_.clear();
+        std::erase_if(log_, [&](const auto& item) { return item.second.revision > revision; });
+        for (const auto& [key, entry] : log_)
+            entries_[key] = entry;
+        revision_ = revision;
+    }
+
+private:
+    uint64_t visible() const { return staleAt_ > 0 ? staleAt_ : revision_; }
+
+    uint64_t newestOf(const std::string& prefix) const
+    {
+        uint64_t newest = 0;
+        for (const auto& [key, entry] : entries_) {
+            if (key.compare(0, prefix.size(), prefix) == 0 && entry.revision <= visible())
+                newest = std::max(newest, entry.revision);
+        }
+        return newest;
+    }
+
+    bool hasNews(const std::string& prefix, uint64_t newerThan) const { return newestOf(prefix) != newerThan; }
+
+    void waitBriefly(absl::Time until) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+    {
+        mutex_.Unlock();
+        absl::SleepFor(std::min(absl::Milliseconds(5), until - absl::Now()));
+        mutex_.Lock();
+    }
+
+    absl::Mutex mutex_;
+    uint64_t revision_ = 0;
+    uint64_t staleAt_ = 0;
+    std::map<std::string, Entry> entries_;
+    std::vector<std::pair<std::string, Entry>> log_;
+};
+
+struct Faults {
+    std::atomic<bool> down { false };
+    std::atomic<uint64_t> rateLimit { 2000 };
+};
+
+/// Counts reads a second against the limit.
+class ReadCounter {
+public:
+    bool take(uint64_t limit)
+    {
+        absl::MutexLock lock(&mutex_);
+        ++total_;
+        const int64_t second = absl::ToUnixSeconds(absl::Now());
+        if (second != second_) {
+            second_ = second;
+            most_ = std::max(most_, inSecond_);
+            inSecond_ = 0;
+        }
+        return ++inSecond_ <= limit;
+    }
+
+    json counts()
+    {
+        absl::MutexLock lock(&mutex_);
+        return { { "reads", total_ }, { "most_reads_a_second", std::max(most_, inSecond_) } };
+    }
+
+private:
+    absl::Mutex mutex_;
+    uint64_t total_ = 0;
+    int64_t second_ = 0;
+    uint64_t inSecond_ = 0;
+    uint64_t most_ = 0;
+};
+
+void sendJson(httplib::Response& response, int status, const json& body)
+{
+    response.status = status;
+    response.set_content(body.dump() + "\n", "application/json");
+}
+
+uint64_t numberParameter(const httplib::Request& request, const char* name)
+{
+    return request.has_param(name) ? std::strtoull(request.get_param_value(name).c_str(), nullptr, 10) : 0;
+}
+
+int serve(const std::string& host, int port)
+{
+    Store store;
+    Faults faults;
+    ReadCounter counter;
+    httplib::Server server;
+    server.new_task_queue = [] { return new httplib::ThreadPool(256); };
+    server.set_payload_max_length(2 * kMaxValueBytes);
+    server.set_keep_alive_max_count(1000000);
+    server.set_tcp_nodelay(true);
+    server.Get("/v1/entries", [&](const httplib::Request& request, httplib::Response& response) {
+        if (!counter.take(faults.rateLimit)) {
+            sendJson(response, 429, { { "error", "read rate limit" } });
+            return;
+        }
+        if (faults.down) {
+            sendJson(response, 503, { { "error", "down" } });
+            return;
+        }
+        const auto wait = absl::Milliseconds(std::min<uint64_t>(30000, numberParameter(request, "wait_ms")));
+        sendJson(response, 200, store.read(request.get_param_value("prefix"), numberParameter(request, "newer_than"), wait));
+    });
+    server.Post("/v1/publish", [&](const httplib::Request& request, httplib::Response& response) {
+        const json body = json::parse(request.body, nullptr, false);
+        if (body.is_discarded() || !body.contains("key") || !body["key"].is_string()) {
+            sendJson(response, 400, { { "error", "key and value expected" } });
+            return;
+        }
+        const bool isDelete = body.value("delete", false);
+        const uint64_t revision = store.publish(body["key"], isDelete ? "" : body.value("value", ""), isDelete);
+        sendJson(response, revision > 0 ? 200 : 413, { { "revision", revision } });
+    });
+    server.Post("/v1/fault", [&](const httplib::Request& request, httplib::Response& response) {
+        const json body = json::parse(request.body, nullptr, false);
+        if (body.is_discarded() || !body.is_object()) {
+            sendJson(response, 400, { { "error", "object expected" } });
+            return;
+        }
+        if (body.contains("down"))
+            faults.down = body["down"].get<bool>();
+        if (body.contains("stale"))
+            store.setStale(body["stale"].get<bool>());
+        if (body.contains("back_to"))
+            store.goBack(body["back_to"].get<uint64_t>());
+        if (body.contains("rate_limit"))
+            faults.rateLimit = body["rate_limit"].get<uint64_t>();
+        sendJson(response, 200, json::object());
+    });
+    server.Get("/v1/counts", [&](const httplib::Request&, httplib::Response& response) { sendJson(response, 200, counter.counts()); });
+    if (!server.bind_to_port(host.c_str(), port)) {
+        std::cerr << "error: cannot bind " << host << ":" << port << "\n";
+        return 1;
+    }
+    std::cout << "platform on " << host << ":" << port << std::endl;
+    server.listen_after_bind();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("limpettrestle-platform", "Stand-in for the platform's service");
+    options.add_options()("host", "Address", cxxopts::value<std::string>()->default_value("127.0.0.1"))(
+        "port", "Port", cxxopts::value<int>()->default_value("8000"))("h,help", "Print this help");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    return serve(parsed["host"].as<std::string>(), parsed["port"].as<int>());
+}
