--- a/include/limpettrestle/limpettrestle.h
+++ b/include/limpettrestle/limpettrestle.h
@@ -262,10 +262,12 @@
     MemberState state = MemberState::Alive;
 };
 
-/// A backend server incarnation that takes no new work.
+/// News of a backend server incarnation: it takes no new work, or it serves again.
 struct DrainRecord {
     ReplicaId replica;
     uint64_t serverIncarnation = 0;
+    /// A newer incarnation than the drained one takes work.
+    bool serving = false;
 };
 
 struct ConfigStamp {
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -16,6 +16,7 @@
 struct Drain {
   replica @0 :UInt64;
   serverIncarnation @1 :UInt64;
+  serving @2 :Bool;
 }
 
 struct Stamp {
--- a/proto/peer.capnp.h
+++ b/proto/peer.capnp.h
@@ -75,7 +75,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88576fae2da99666, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(88576fae2da99666, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -603,6 +603,8 @@
 
   inline  ::uint64_t getServerIncarnation() const;
 
+  inline bool getServing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -637,6 +639,9 @@
   inline  ::uint64_t getServerIncarnation();
   inline void setServerIncarnation( ::uint64_t value);
 
+  inline bool getServing();
+  inline void setServing(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3311,6 +3316,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Drain::Reader::getServing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Drain::Builder::getServing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Drain::Builder::setServing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Stamp::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/config.h
+++ b/src/config.h
@@ -20,6 +20,8 @@
 
 /// Gap between two events after which the process counts as having been paused.
 constexpr Millis kLateWakeGap { 1000 };
+/// Time after a pause during which callers' requests are refused: they may have waited through it.
+constexpr Millis kWakingTime { 100 };
 /// Longest time between two ticks.
 constexpr Millis kTickInterval { 50 };
 
--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -438,13 +438,8 @@
         listener_.onServerDraining(id, reply.serverIncarnation);
         return;
     }
-    if (drains_.noteServing(id, reply.serverIncarnation)) {
-        TimelineEvent event;
-        event.kind = TimelineKind::ServerReturned;
-        event.subject = replica.config->name;
-        event.number = reply.serverIncarnation;
-        context_.record(std::move(event));
-    }
+    if (drains_.noteServing(id, reply.serverIncarnation))
+        listener_.onServerReturned(id, reply.serverIncarnation);
     if (!drains_.isDrained(id)) {
         replica.hasEvidence = true;
         replica.evidenceAt = context_.now();
--- a/src/connection/replica_owner.h
+++ b/src/connection/replica_owner.h
@@ -16,6 +16,8 @@
     virtual ~OwnerListenerI() = default;
     /// A server said that it takes no new work.
     virtual void onServerDraining(ReplicaId replica, uint64_t serverIncarnation) = 0;
+    /// A server that was drained takes work again, as a newer incarnation.
+    virtual void onServerReturned(ReplicaId replica, uint64_t serverIncarnation) = 0;
 };
 
 class ReplicaOwner {
--- a/src/daemon/peer_codec.cpp
+++ b/src/daemon/peer_codec.cpp
@@ -104,6 +104,7 @@
         for (uint32_t i = 0; i < drains.size(); ++i) {
             out[i].setReplica(drains[i].replica.value);
             out[i].setServerIncarnation(drains[i].serverIncarnation);
+            out[i].setServing(drains[i].serving);
         }
     }
 
@@ -111,7 +112,7 @@
     void decodeDrains(List in, std::vector<DrainRecord>& out)
     {
         for (const auto entry : in)
-            out.push_back({ { entry.getReplica() }, entry.getServerIncarnation() });
+            out.push_back({ { entry.getReplica() }, entry.getServerIncarnation(), entry.getServing() });
     }
 
     void encode(const Gossip& gossip, wire::Gossip::Builder out)
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -42,6 +42,7 @@
 
     void sendPeer(InstanceId to, PeerBody body) override;
     void onServerDraining(ReplicaId replica, uint64_t serverIncarnation) override;
+    void onServerReturned(ReplicaId replica, uint64_t serverIncarnation) override;
 
 private:
     struct DrainNews {
@@ -84,10 +85,12 @@
     void noticeLateWake();
     void periodic();
     bool isStale(Micros budget) const;
-    bool refusesNewWork(CallerTag tag, RequestId id);
+    /// Answers a caller's request that cannot be taken now. Returns false when it can.
+    bool refusesNewWork(CallerTag tag, bool mayHaveRun);
     Gossip makeGossip();
     void takeGossip(InstanceId from, const Gossip& gossip);
     void takeDrain(const DrainRecord& record);
+    void spreadDrain(TimelineKind kind, const DrainRecord& record);
     void sendNotices();
     void takeConfigStep(const ConfigChain::Step& step);
     void adoptConfig();
@@ -115,6 +118,7 @@
     TimePoint nextPeriodic_ {};
     TimePoint startedAt_ {};
     TimePoint leavingAt_ {};
+    TimePoint wakingUntil_ {};
     TimePoint nextStartAsk_ {};
     TimePoint nextSafetyRead_ {};
     HlcTime messageTime_;
@@ -220,26 +224,31 @@
 
 void Node::Impl::onServerDraining(ReplicaId replica, uint64_t serverIncarnation)
 {
-    takeDrain({ replica, serverIncarnation });
+    takeDrain({ replica, serverIncarnation, false });
+}
+
+void Node::Impl::onServerReturned(ReplicaId replica, uint64_t serverIncarnation)
+{
+    spreadDrain(TimelineKind::ServerReturned, { replica, serverIncarnation, true });
 }
 
 void Node::Impl::on(const CallerSearch& event)
 {
-    if (refusesNewWork(event.tag, {}))
+    if (refusesNewWork(event.tag, false))
         return;
     coordinator_.onSearch(event.tag, event.request);
 }
 
 void Node::Impl::on(const CallerPermit& event)
 {
-    if (refusesNewWork(event.tag, {}))
+    if (refusesNewWork(event.tag, false))
         return;
     submissions_.onPermitRequest(event.tag, coordinator_.nextRequestId(), event.request);
 }
 
 void Node::Impl::on(const CallerSubmit& event)
 {
-    if (refusesNewWork(event.tag, {}))
+    if (refusesNewWork(event.tag, event.request.permit.isValid()))
         return;
     if (event.request.deadline <= Millis(0)) {
         Answer answer;
@@ -286,7 +295,7 @@
     membership_.onPlatformList(event.members);
     for (const PlatformMember& member : event.members) {
         if (member.backend && member.leaving)
-            takeDrain({ idFromName<ReplicaId>(member.name), member.serverIncarnation });
+            takeDrain({ idFromName<ReplicaId>(member.name), member.serverIncarnation, false });
     }
 }
 
@@ -475,6 +484,7 @@
     if (gap < config::kLateWakeGap)
         return;
     ++context_.stats.lateWakes;
+    wakingUntil_ = now + config::kWakingTime;
     TimelineEvent event;
     event.kind = TimelineKind::WokeLate;
     event.number = static_cast<uint64_t>(std::chrono::duration_cast<Millis>(gap).count());
@@ -500,16 +510,28 @@
     return Micros(wall - messageTime_.wallMicros) > budget + kSkewTolerance;
 }
 
-bool Node::Impl::refusesNewWork(CallerTag tag, RequestId)
+bool Node::Impl::refusesNewWork(CallerTag tag, bool mayHaveRun)
 {
-    const bool isPastLag = phase_ == Phase::Leaving && context_.now() >= leavingAt_ + balancerLag_;
-    if (phase_ == Phase::Serving || (phase_ == Phase::Leaving && !isPastLag))
+    const TimePoint now = context_.now();
+    const bool isPastLag = phase_ == Phase::Leaving && now >= leavingAt_ + balancerLag_;
+    const bool takesWork = phase_ == Phase::Serving || (phase_ == Phase::Leaving && !isPastLag);
+    // What waited through a pause cannot be told from what is new.
+    const bool isWaking = now < wakingUntil_;
+    if (takesWork && !isWaking)
         return false;
     Answer answer;
     answer.request = coordinator_.nextRequestId();
-    answer.outcome = Outcome::Refused;
-    answer.code = phase_ == Phase::Starting ? ResultCode::NotReady : ResultCode::ShuttingDown;
-    answer.retryAfter = Millis(phase_ == Phase::Starting ? 500 : 1);
+    // An earlier submission under the same permit may have run elsewhere.
+    answer.outcome = mayHaveRun ? Outcome::Unknown : Outcome::Refused;
+    answer.code = ResultCode::ShuttingDown;
+    answer.retryAfter = Millis(1);
+    if (phase_ == Phase::Starting) {
+        answer.code = ResultCode::NotReady;
+        answer.retryAfter = Millis(500);
+    } else if (isWaking) {
+        answer.code = ResultCode::StaleMessage;
+        answer.retryAfter = std::chrono::ceil<Millis>(wakingUntil_ - now);
+    }
     context_.actions->push_back(AnswerCaller { tag, std::move(answer) });
     return true;
 }
@@ -551,17 +573,28 @@
 
 void Node::Impl::takeDrain(const DrainRecord& record)
 {
+    if (record.serving) {
+        if (drains_.noteServing(record.replica, record.serverIncarnation))
+            spreadDrain(TimelineKind::ServerReturned, record);
+        return;
+    }
     if (!drains_.drain(record.replica, record.serverIncarnation))
         return;
+    spreadDrain(TimelineKind::ServerDrained, record);
+    owner_.onDrained(record.replica);
+}
+
+void Node::Impl::spreadDrain(TimelineKind kind, const DrainRecord& record)
+{
+    std::erase_if(drainNews_, [&](const DrainNews& news) { return news.record.replica == record.replica; });
     drainNews_.push_back({ record, kDrainSpread });
     noticeToSend_ = true;
     TimelineEvent event;
-    event.kind = TimelineKind::ServerDrained;
+    event.kind = kind;
     const ReplicaConfig* replica = chain_.current() ? chain_.current()->findReplica(record.replica) : nullptr;
     event.subject = replica ? replica->name : "";
     event.number = record.serverIncarnation;
     context_.record(std::move(event));
-    owner_.onDrained(record.replica);
 }
 
 void Node::Impl::sendNotices()
--- a/src/process/drain_table.cpp
+++ b/src/process/drain_table.cpp
@@ -44,7 +44,7 @@
 {
     std::vector<DrainRecord> records;
     for (const auto& [replica, incarnation] : drained_)
-        records.push_back({ replica, incarnation });
+        records.push_back({ replica, incarnation, false });
     std::sort(records.begin(), records.end(), [](const DrainRecord& a, const DrainRecord& b) { return a.replica < b.replica; });
     return records;
 }
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -232,8 +232,9 @@
         cancelAttempts(query, shard);
     ++query.restarts;
     ++context_.stats.restarts;
+    const ServiceId service = query.service->id;
     query.config = config_;
-    query.service = config_->findService(query.service->id);
+    query.service = config_->findService(service);
     query.snapshot = std::max(snapshot, query.service->snapshot);
     record(query, TimelineKind::RequestRestarted, ResultCode::SnapshotGone, 0, 0, query.service->name);
     start(query);
@@ -275,6 +276,13 @@
 }
 
 const ReplicaConfig* Coordinator::pickReplica(const Query& query, uint32_t shard)
+{
+    const ReplicaConfig* replica = pickReplicaAmong(query, shard, false);
+    // The owner knows best whether a server serves again; it refuses unsent when it does not.
+    return replica ? replica : pickReplicaAmong(query, shard, true);
+}
+
+const ReplicaConfig* Coordinator::pickReplicaAmong(const Query& query, uint32_t shard, bool drained)
 {
     const TimePoint now = context_.now();
     const ShardState& state = query.shards[shard];
@@ -286,7 +294,7 @@
         const ReplicaConfig& replica = replicas[i];
         const bool isTried = (state.tried >> i & 1) != 0;
         bool deputy = false;
-        const bool isOpen = !isTried && !drains_.isDrained(replica.id) && views_.at(replica.id).avoidUntil <= now;
+        const bool isOpen = !isTried && drains_.isDrained(replica.id) == drained && views_.at(replica.id).avoidUntil <= now;
         if (!isOpen || !pickOwner(replica, deputy).isValid())
             continue;
         double score = 1.0;
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -85,6 +85,7 @@
     void restart(Query& query, uint64_t snapshot);
     bool sendShard(Query& query, uint32_t shard, SendReason reason, const Redirect& redirect = {});
     const ReplicaConfig* pickReplica(const Query& query, uint32_t shard);
+    const ReplicaConfig* pickReplicaAmong(const Query& query, uint32_t shard, bool drained);
     InstanceId pickOwner(const ReplicaConfig& replica, bool& deputy);
     void addToBatch(const Query& query, InstanceId owner, ExecuteItem item);
     void onItem(Query& query, InstanceId from, const ExecuteItemResult& item);
--- a/standins/backend_model.cpp
+++ b/standins/backend_model.cpp
@@ -95,8 +95,10 @@
 void BackendModel::noteRun(const BackendRequest& request)
 {
     ++counts.ran;
-    if (request.operation == BackendOperation::Submit)
-        ++runs[request.key];
+    if (request.operation != BackendOperation::Submit)
+        return;
+    ++runs[request.key];
+    runRequests[request.key].push_back(request.attempt.request);
 }
 
 void BackendModel::drain(TimePoint now)
--- a/standins/backend_model.h
+++ b/standins/backend_model.h
@@ -101,6 +101,8 @@
     uint64_t incarnation;
     /// Runs of each idempotency key.
     absl::btree_map<std::string, uint64_t> runs;
+    /// Requests whose submission was run, by idempotency key.
+    absl::btree_map<std::string, std::vector<RequestId>> runRequests;
 
 private:
     bool draw(double share);
