--- a/standins/backend_model.cpp
+++ b/standins/backend_model.cpp
@@ -78,17 +78,18 @@
         body = absl::StrFormat("ran %s on %s", request.key, shape.name);
         return reply;
     }
+    // A reply of another shard or snapshot carries that one's rows.
+    if (draw(faults.wrongShardShare))
+        ++reply.shard;
+    if (draw(faults.wrongSnapshotShare))
+        ++reply.snapshot;
     json rows = json::array();
     const std::string query = request.body ? *request.body : "";
     for (uint32_t i = 0; i < std::min(shape.rows, std::max(1U, request.limit)); ++i) {
-        const double score = static_cast<double>(bodyChecksum(query + std::to_string(request.shard * 100 + i)) % 10000) / 10000;
-        rows.push_back({ { "id", absl::StrFormat("s%d-%d@%d", request.shard, i, request.snapshot) }, { "score", score } });
+        const double score = static_cast<double>(bodyChecksum(query + std::to_string(reply.shard * 100 + i)) % 10000) / 10000;
+        rows.push_back({ { "id", absl::StrFormat("s%d-%d@%d", reply.shard, i, reply.snapshot) }, { "score", score } });
     }
     body = rows.dump();
-    if (draw(faults.wrongShardShare))
-        ++reply.shard;
-    if (draw(faults.wrongSnapshotShare))
-        ++reply.snapshot;
     return reply;
 }
 
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,215 @@
+/// Behaviour of several nodes together, on the virtual clock.
+
+#include "support/fault_matrix.h"
+
+#include <catch2/catch.hpp>
+
+using namespace limpettrestle;
+using namespace limpettrestle::tests;
+
+namespace {
+
+void requireNoViolation(const Bed& bed)
+{
+    for (const Violation& violation : checkPromises(bed)) {
+        INFO(name(violation.promise) << ": " << violation.detail);
+        CHECK(false);
+    }
+}
+
+/// Searches from all hosts in turn; returns their tags.
+std::vector<uint64_t> load(Bed& bed, Millis time, Millis gap)
+{
+    std::vector<uint64_t> tags;
+    size_t i = 0;
+    for (Millis at(0); at < time; at += gap, ++i) {
+        const std::vector<std::string> live = bed.liveHosts();
+        std::vector<std::string> ready;
+        for (const std::string& host : live) {
+            if (bed.hosts.at(host).node->phase() == Phase::Serving)
+                ready.push_back(host);
+        }
+        tags.push_back(bed.search(ready[i % ready.size()], Millis(230)));
+        bed.runFor(gap);
+    }
+    bed.runFor(Millis(400));
+    return tags;
+}
+
+size_t countComplete(const Bed& bed, const std::vector<uint64_t>& tags)
+{
+    return static_cast<size_t>(std::count_if(tags.begin(), tags.end(), [&](uint64_t tag) {
+        return bed.request(tag).answers == 1 && bed.request(tag).answer.code == ResultCode::Ok;
+    }));
+}
+
+} // namespace
+
+TEST_CASE("a healthy fleet answers everything within the slots and with little extra load")
+{
+    Bed bed({});
+    bed.startAll();
+    const uint64_t before = bed.totalCalls();
+    const std::vector<uint64_t> tags = load(bed, Millis(4000), Millis(10));
+    CHECK(countComplete(bed, tags) == tags.size());
+    CHECK(bed.totalSlotOverruns() == 0);
+    const double extra = static_cast<double>(bed.totalCalls() - before) / (static_cast<double>(tags.size()) * 6);
+    CHECK(extra <= 1.05);
+    requireNoViolation(bed);
+}
+
+TEST_CASE("a graceful shutdown of any instance, two at once, or all in turn fails no request")
+{
+    struct Case {
+        const char* name;
+        std::vector<std::vector<std::string>> rounds;
+    };
+    const Case cases[] = {
+        { "a1", { { "a1" } } },
+        { "b0", { { "b0" } } },
+        { "two at once", { { "a0", "a2" } } },
+        { "all in turn", { { "a0" }, { "a1" }, { "a2" }, { "b0" }, { "b1" } } },
+    };
+    for (const Case& entry : cases) {
+        INFO(entry.name);
+        Bed bed({});
+        bed.startAll();
+        for (const std::vector<std::string>& round : entry.rounds) {
+            for (const std::string& host : round)
+                bed.shutdownHost(host);
+            const std::vector<uint64_t> tags = load(bed, Millis(1500), Millis(10));
+            CHECK(countComplete(bed, tags) == tags.size());
+            for (const std::string& host : round) {
+                CHECK_FALSE(bed.hosts.at(host).alive);
+                bed.startHost(host);
+            }
+            const std::vector<uint64_t> after = load(bed, Millis(2500), Millis(10));
+            CHECK(countComplete(bed, after) == after.size());
+        }
+        requireNoViolation(bed);
+    }
+}
+
+TEST_CASE("snapshots that change every 50 ms end in an answer, not in a livelock")
+{
+    Bed bed({});
+    bed.startAll();
+    for (uint64_t i = 0; i < 40; ++i) {
+        bed.at(Millis(50) * static_cast<int>(i), [&bed, i] {
+            for (auto& [serverName, server] : bed.servers)
+                server->shape.oldestSnapshot = server->shape.newestSnapshot = 2 + i;
+        });
+    }
+    const std::vector<uint64_t> tags = load(bed, Millis(1800), Millis(30));
+    requireNoViolation(bed);
+    for (const uint64_t tag : tags)
+        CHECK(bed.request(tag).answers == 1);
+    CHECK(countComplete(bed, tags) * 2 > tags.size());
+}
+
+TEST_CASE("a published patch is in force everywhere within 5 s, in every zone and condition")
+{
+    struct Case {
+        const char* name;
+        void (*disturb)(Bed& bed);
+    };
+    const Case cases[] = {
+        { "nothing", [](Bed&) {} },
+        { "an instance dies", [](Bed& bed) { bed.killHost("a0"); } },
+        { "one instance cut from the platform", [](Bed& bed) { bed.cut("platform", "a0"); } },
+        { "zones cut from each other", [](Bed& bed) { bed.cutZones("a", "b"); } },
+        { "an instance has just started", [](Bed& bed) { bed.killHost("b1"); bed.startHost("b1"); } },
+    };
+    for (const Case& entry : cases) {
+        INFO(entry.name);
+        Bed bed({});
+        bed.startAll();
+        entry.disturb(bed);
+        bed.publish("change", bed.stampAt("a1"), R"([{"op":"add","path":"/note","value":"x"}])");
+        bed.runFor(Millis(5000));
+        for (const std::string& host : bed.liveHosts())
+            CHECK(bed.stampAt(host).version == 2);
+    }
+}
+
+TEST_CASE("a starting instance takes the fleet's version from its peers when the platform is stale")
+{
+    Bed bed({});
+    bed.startAll();
+    bed.platformStale = true;
+    bed.platformStale = false;
+    bed.publish("change", bed.stampAt("a1"), R"([{"op":"add","path":"/note","value":"x"}])");
+    bed.runFor(Millis(1000));
+    bed.platformGoBack(1);
+    bed.killHost("a0");
+    bed.startHost("a0");
+    bed.runFor(Millis(3000));
+    CHECK(bed.hosts.at("a0").node->isReady());
+    CHECK(bed.stampAt("a0").version == 2);
+    requireNoViolation(bed);
+}
+
+TEST_CASE("each zone serves what it can when cut off, and says what is missing")
+{
+    Bed bed({});
+    bed.startAll();
+    bed.cutZones("a", "b");
+    bed.cut("platform", "*");
+    bed.runFor(Millis(3000));
+    for (const std::string host : { "a0", "b1" }) {
+        const uint64_t tag = bed.search(host, Millis(230));
+        bed.runFor(Millis(400));
+        const Answer& answer = bed.request(tag).answer;
+        CHECK(answer.code == ResultCode::PartialCoverage);
+        CHECK(answer.shardsCovered == 5);
+        REQUIRE(answer.missing.size() == 1);
+        CHECK(answer.missing[0].shard == (host[0] == 'a' ? 5U : 2U));
+    }
+    requireNoViolation(bed);
+}
+
+TEST_CASE("the least coverage that a caller accepts is honoured")
+{
+    Bed bed({});
+    bed.startAll();
+    bed.serverDown["s2-0"] = bed.serverDown["s2-1"] = true;
+    const uint64_t accepts = bed.search("a0", Millis(230), 0.8);
+    const uint64_t refuses = bed.search("a0", Millis(230), 0.9);
+    bed.runFor(Millis(400));
+    CHECK(bed.request(accepts).answer.code == ResultCode::PartialCoverage);
+    CHECK(bed.request(refuses).answer.code == ResultCode::CoverageBelowMinimum);
+    CHECK(bed.request(refuses).answer.retryAfter > Millis(0));
+}
+
+TEST_CASE("one zone mate that is killed costs no coverage")
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        BedOptions options;
+        options.seed = seed;
+        Bed bed(options);
+        bed.startAll();
+        bed.killHost("a2");
+        const std::vector<uint64_t> tags = load(bed, Millis(4000), Millis(20));
+        CHECK(countComplete(bed, tags) == tags.size());
+        requireNoViolation(bed);
+    }
+}
+
+TEST_CASE("a schedule gives the same result each time it is run")
+{
+    for (const char* text : { "7:3/4,5/1", "12:10/11,0/8", "33:13/0,4/27" }) {
+        const auto trace = [&] {
+            Bed bed({ parseSchedule(text).seed });
+            bed.recordTimeline = true;
+            bed.startAll();
+            bed.killHost("a1");
+            load(bed, Millis(500), Millis(10));
+            std::string out;
+            for (const auto& [host, event] : bed.timeline)
+                out += host + std::string(limpettrestle::name(event.kind)) + event.subject + std::to_string(event.time.wallMicros) + "\n";
+            return out;
+        };
+        CHECK(trace() == trace());
+        CHECK(runSchedule(parseSchedule(text)).violations.empty());
+    }
+}
--- /dev/null
+++ b/tools/mutate.py
@@ -0,0 +1,129 @@
+#!/usr/bin/env python3
+"""Shows that the fault matrix can fail: breaks one guard at a time in a scratch copy, builds the
+matrix and expects it to go red, then prints a table.
+
+    tools/mutate.py [--jobs N] [--only NAME]
+"""
+
+import argparse
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+
+class Mutation:
+    """One guard and how it is broken: `old` is replaced by `new` in `file`."""
+
+    def __init__(self, name, promise, file, old, new):
+        self.name = name
+        self.promise = promise
+        self.file = file
+        self.old = old
+        self.new = new
+
+
+MUTATIONS = [
+    Mutation("snapshot echo unchecked", "one snapshot", "src/request/coordinator.cpp",
+             "if (item.snapshot != query.snapshot)", "if (false)"),
+    Mutation("shard echo unchecked", "true coverage", "src/connection/replica_owner.cpp",
+             "reply.code == ResultCode::Ok && reply.shard != call.item.shard", "false"),
+    Mutation("denominator from replies", "true coverage", "src/request/coordinator.cpp",
+             "answer.missing.push_back({ shard, state.reason });", ";"),
+    Mutation("attempt echo unchecked", "own answer", "src/connection/replica_owner.cpp",
+             "reply.code == ResultCode::Ok && reply.attempt != asked", "false"),
+    Mutation("late reply covers again", "own answer", "src/request/coordinator.cpp",
+             "    if (--query.open == 0)\n", "    if (--query.open <= 1)\n"),
+    Mutation("lost reply reported as refused", "refused means not run", "src/request/one_shot_call.h",
+             "{ Outcome::Unknown, ResultCode::OutcomeUnknown, {} }", "{ Outcome::Refused, ResultCode::ConnectionLost, {} }"),
+    Mutation("unknown permit refused", "refused means not run", "src/request/submissions.cpp",
+             "answer(reply, Outcome::Unknown, ResultCode::PermitUnknown", "answer(reply, Outcome::Refused, ResultCode::PermitUnknown"),
+    Mutation("permit not marked as used", "at most once", "src/request/submissions.cpp",
+             "record.state = verdict.outcome() == Outcome::Refused ? PermitState::Issued : PermitState::Ended;",
+             "record.state = PermitState::Issued;"),
+    Mutation("lost submission sent again", "at most once", "src/request/submissions.cpp",
+             "    endRun(sequence, std::move(*run->sent).unknown());\n    return true;\n}\n\nvoid Submissions::onPeerFailed",
+             "    releaseSlot(*run);\n    run->sent.reset();\n    run->unsent.emplace();\n    askForSlot(*run);\n    return true;\n}\n\nvoid Submissions::onPeerFailed"),
+    Mutation("drain notices ignored", "drain", "src/process/drain_table.cpp",
+             "    return drained_.contains(replica);", "    (void)replica;\n    return false;"),
+    Mutation("no evidence lease", "drain", "src/connection/replica_owner.cpp",
+             "    if (isFresh)\n        return true;", "    return true;"),
+    Mutation("shutdown at once", "graceful shutdown", "src/node.cpp",
+             "    if (now < leavingAt_ + balancerLag_)\n        return;\n", "    setPhase(Phase::Stopped);\n    return;\n"),
+    Mutation("older document taken", "configuration never reverts", "src/version/config_chain.cpp",
+             "if (stamp.version < have.version || stamp == have)", "if (stamp == have)"),
+    Mutation("base version unchecked", "configuration never reverts", "src/version/config_chain.cpp",
+             "if (record.base.version < current.version)", "if (false)"),
+    Mutation("late wake unnoticed", "late wake", "src/node.cpp",
+             "    if (gap < config::kLateWakeGap)\n        return;", "    (void)gap;\n    return;"),
+    Mutation("no restart on a newer snapshot", "one snapshot", "src/request/coordinator.cpp",
+             "const bool snapshotMoved = query.newerSnapshot > query.snapshot;", "const bool snapshotMoved = false;"),
+    Mutation("news of a returned server not spread", "true coverage", "src/request/coordinator.cpp",
+             "return replica ? replica : pickReplicaAmong(query, shard, true);", "return replica;"),
+]
+
+
+def run(mutation, scratch, jobs):
+    """Builds and runs the matrix with the mutation. Returns (verdict, first failure)."""
+    path = os.path.join(scratch, mutation.file)
+    with open(path, encoding="utf-8") as source:
+        text = source.read()
+    if text.count(mutation.old) != 1:
+        return "STALE", f"the guard stands {text.count(mutation.old)} times in {mutation.file}"
+    with open(path, "w", encoding="utf-8") as out:
+        out.write(text.replace(mutation.old, mutation.new))
+    try:
+        build = subprocess.run(["ninja", "-C", os.path.join(scratch, "build"), "-j", str(jobs), "limpettrestle-matrix"],
+                               stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False)
+        if build.returncode != 0:
+            return "caught", "does not compile"
+        try:
+            matrix = subprocess.run([os.path.join(scratch, "build", "limpettrestle-matrix"), "--pairs", "1500"],
+                                    stdout=subprocess.PIPE, stderr=subprocess.STDOUT, timeout=180, check=False)
+        except subprocess.TimeoutExpired:
+            return "caught", "does not end"
+        output = matrix.stdout.decode(errors="replace")
+        if matrix.returncode == 0:
+            return "MISSED", ""
+        failed = re.findall(r"(\d+) passed, (\d+) failed", output)
+        first = next((line for line in output.splitlines() if line.startswith("FAILED")), "crash")
+        return "caught", f"{failed[0][1] if failed else '?'} red, first: {first[:150]}"
+    finally:
+        with open(path, "w", encoding="utf-8") as out:
+            out.write(text)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--jobs", type=int, default=8)
+    parser.add_argument("--only", default="")
+    arguments = parser.parse_args()
+    missed = 0
+    scratch = tempfile.mkdtemp(prefix="limpettrestle-mutate-")
+    try:
+        for part in ("include", "src", "standins", "tests", "proto", "bench", "examples", "CMakeLists.txt"):
+            source = os.path.join(ROOT, part)
+            if os.path.isdir(source):
+                shutil.copytree(source, os.path.join(scratch, part))
+            elif os.path.exists(source):
+                shutil.copy(source, scratch)
+        subprocess.run(["cmake", "-S", scratch, "-B", os.path.join(scratch, "build"), "-G", "Ninja"], stdout=subprocess.DEVNULL, check=True)
+        print("| guard broken | promise | verdict | what the matrix said |\n|---|---|---|---|")
+        for mutation in MUTATIONS:
+            if arguments.only and arguments.only not in mutation.name:
+                continue
+            verdict, detail = run(mutation, scratch, arguments.jobs)
+            missed += verdict != "caught"
+            print(f"| {mutation.name} | {mutation.promise} | {verdict} | {detail} |", flush=True)
+    finally:
+        shutil.rmtree(scratch, ignore_errors=True)
+    print(f"{len(MUTATIONS) - missed} caught, {missed} missed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
