--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -297,7 +297,10 @@
         return false;
     const Owners owners = ownership_.find(replica.id, replica.zone);
     ownerHint = owners.owner;
-    return owners.owner == context_.self || (deputy && owners.deputy == context_.self);
+    if (owners.owner == context_.self)
+        return true;
+    // The deputy acts when the coordinator, or this instance itself, cannot rely on the owner.
+    return owners.deputy == context_.self && (deputy || !membership_.isTrusted(owners.owner));
 }
 
 void ReplicaOwner::enqueue(Replica& replica, QueuedCall call, bool deputy)
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -107,7 +107,7 @@
         const std::string entry = platform_protocol::formatConfigRecord(record);
         if (line.json) {
             std::cout << json { { "key", std::string(platform_protocol::kConfigPrefix) + line.change }, { "value", entry },
-                             { "version", verdict.stamp.version }, { "digest", absl::StrFormat("%016x", verdict.stamp.digest) } }
+                { "version", verdict.stamp.version }, { "digest", absl::StrFormat("%016x", verdict.stamp.digest) } }
                              .dump()
                       << "\n";
             return ExitCode::Ok;
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -102,10 +102,12 @@
         return missedOne ? ExitCode::NotAsAsked : ExitCode::Ok;
     }
     std::cout << std::left << std::setw(18) << "INSTANCE" << std::setw(16) << "ZONE" << std::setw(12) << "PHASE" << std::setw(8) << "CONFIG"
-              << std::setw(8) << "ALIVE" << std::setw(8) << "OWNS" << std::setw(8) << "QUEUED" << std::setw(9) << "INFLIGHT" << "DRAINED\n";
+              << std::setw(8) << "ALIVE" << std::setw(8) << "OWNS" << std::setw(8) << "QUEUED" << std::setw(9) << "INFLIGHT"
+              << "DRAINED\n";
     for (const json& status : all) {
         if (status["phase"] == "unreachable") {
-            std::cout << std::setw(18) << status["admin"].get<std::string>() << std::setw(16) << "-" << "unreachable\n";
+            std::cout << std::setw(18) << status["admin"].get<std::string>() << std::setw(16) << "-"
+                      << "unreachable\n";
             continue;
         }
         const json& stats = status["stats"];
--- a/src/daemon/caller_server.cpp
+++ b/src/daemon/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "../version/fleet_config.h"
 #include "answer_json.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/time/time.h>
 
 namespace limpettrestle {
@@ -14,6 +15,8 @@
 
     /// Wait past a request's deadline before its caller is told that the instance failed.
     constexpr Millis kAnswerGrace { 500 };
+    /// Multiple of the body limit up to which a body is skipped rather than its connection closed.
+    constexpr uint64_t kSkippedBodies = 4;
     constexpr const char* kJson = "application/json";
     constexpr const char* kSingleHeaders[] = { "Content-Length", "Content-Type", "Host" };
 
@@ -87,6 +90,7 @@
         server_.Put(path, refuse);
         server_.Delete(path, refuse);
     }
+    server_.set_pre_routing_handler([this](const auto& request, auto& response) { return refuseLargeBody(request, response); });
     server_.set_error_handler([](const httplib::Request&, httplib::Response& response) {
         if (!response.body.empty())
             return;
@@ -210,6 +214,25 @@
     latency_.Observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - started).count());
 }
 
+httplib::Server::HandlerResponse CallerServer::refuseLargeBody(const httplib::Request& request, httplib::Response& response)
+{
+    // A body that is a little too large is skipped and the connection kept; a much larger one is
+    // refused from its announcement, and the connection closed.
+    const std::string announced = request.get_header_value("Content-Length");
+    uint64_t length = 0;
+    if (!absl::SimpleAtoi(announced, &length) || length <= kSkippedBodies * settings_.maxBodyBytes)
+        return httplib::Server::HandlerResponse::Unhandled;
+    const auto text = std::make_shared<std::string>(errorJson(ResultCode::BodyTooLarge, "the announced body exceeds limits.max_body_bytes").dump() + "\n");
+    response.status = resultCodeInfo(ResultCode::BodyTooLarge).httpStatus;
+    response.set_header("Connection", "close");
+    // The library closes the connection when a provider fails; the text is out by then.
+    response.set_content_provider(text->size(), kJson, [text](size_t offset, size_t, httplib::DataSink& sink) {
+        sink.write(text->data() + offset, text->size() - offset);
+        return false;
+    });
+    return httplib::Server::HandlerResponse::Handled;
+}
+
 bool CallerServer::refuseMalformed(const httplib::Request& request, httplib::Response& response)
 {
     for (const char* header : kSingleHeaders) {
--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -26,6 +26,7 @@
     /// Hands the event over and waits for its answer.
     template <typename EventType>
     void serve(EventType event, Millis deadline, httplib::Response& response);
+    httplib::Server::HandlerResponse refuseLargeBody(const httplib::Request& request, httplib::Response& response);
     bool refuseMalformed(const httplib::Request& request, httplib::Response& response);
 
     Hub& hub_;
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -210,6 +210,13 @@
     return it == members_.end() ? nullptr : &it->second;
 }
 
+bool Membership::isTrusted(InstanceId id) const
+{
+    const Member* member = find(id);
+    const bool isAlive = member && member->info.state == MemberState::Alive;
+    return id == context_.self || (isAlive && member->avoidUntil <= context_.now());
+}
+
 bool Membership::isReachable(InstanceId id) const
 {
     if (id == context_.self)
@@ -422,6 +429,13 @@
         if (member.settled)
             views_[member.info.zone].push_back(id);
     }
+    // A zone whose settled members have all left is served by those that are there.
+    absl::btree_map<ZoneId, std::vector<InstanceId>> present;
+    for (const auto& [id, member] : members_) {
+        if (countsAsPresent(member.info.state) && !views_.contains(member.info.zone))
+            present[member.info.zone].push_back(id);
+    }
+    views_.insert(present.begin(), present.end());
     // The last instance of a zone goes on owning while it leaves.
     std::vector<InstanceId>& own = views_[context_.zone];
     if (own.empty())
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -57,7 +57,10 @@
     void forgetProbes();
 
     const Member* find(InstanceId id) const;
+    /// False for a member that is dead or that the data path avoids.
     bool isReachable(InstanceId id) const;
+    /// True for a member that nothing speaks against: alive, not suspected, not avoided.
+    bool isTrusted(InstanceId id) const;
     /// Members of the settled view of a zone, this instance included, sorted.
     const std::vector<InstanceId>& zoneView(ZoneId zone) const;
     /// Rises whenever a settled view changes.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -90,6 +90,20 @@
     }
 }
 
+TEST_CASE("an instance may leave right after its only zone mate has come back")
+{
+    Bed bed({});
+    bed.startAll();
+    bed.shutdownHost("b0");
+    bed.runFor(Millis(1500));
+    bed.startHost("b0");
+    bed.runFor(Millis(200));
+    bed.shutdownHost("b1");
+    const std::vector<uint64_t> tags = load(bed, Millis(2000), Millis(10));
+    CHECK(countComplete(bed, tags) == tags.size());
+    requireNoViolation(bed);
+}
+
 TEST_CASE("snapshots that change every 50 ms end in an answer, not in a livelock")
 {
     Bed bed({});
--- a/tests/matrix_main.cpp
+++ b/tests/matrix_main.cpp
@@ -127,7 +127,8 @@
                     isRed = isRed || !tally.results[n].violations.empty();
                     hasFired = hasFired || tally.results[n].fired > 0;
                 }
-                std::cout << (isRed ? " red |" : hasFired ? " proved |" : " not run |");
+                std::cout << (isRed ? " red |" : hasFired ? " proved |"
+                                                          : " not run |");
             }
             std::cout << "\n";
         }
--- a/tests/replica_owner_test.cpp
+++ b/tests/replica_owner_test.cpp
@@ -11,7 +11,10 @@
 
 // A call that was sent has no way to be refused, and a call is sent once at most.
 template <typename Call>
-concept CanRefuse = requires(Call call) { std::move(call).refuse(ResultCode::Overloaded); };
+concept CanRefuse = requires(Call call)
+{
+    std::move(call).refuse(ResultCode::Overloaded);
+};
 static_assert(CanRefuse<UnsentCall>);
 static_assert(!CanRefuse<SentCall>);
 static_assert(!std::is_copy_constructible_v<UnsentCall>);
