--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -510,10 +510,12 @@
     const TimePoint now = context_.now();
     ShardState& state = query.shards[shard];
     uint32_t live = 0;
+    bool timedOut = false;
     TimePoint oldest = now;
     for (LiveAttempt& attempt : state.attempts) {
         if (!attempt.lost && now - attempt.sentAt >= query.config->policy.attemptTimeout) {
             attempt.lost = true;
+            timedOut = true;
             views_.onSlow(attempt.replica, std::chrono::duration_cast<Micros>(now - attempt.sentAt), now);
         }
         if (attempt.lost)
@@ -522,8 +524,8 @@
         oldest = std::min(oldest, attempt.sentAt);
     }
     if (live == 0) {
-        if (state.retryAt <= now)
-            tryAgain(query, shard, state.attempts.empty() ? state.reason : ResultCode::AttemptTimeout, !state.attempts.empty());
+        if (timedOut || state.retryAt <= now)
+            tryAgain(query, shard, timedOut ? ResultCode::AttemptTimeout : state.reason, timedOut);
         return;
     }
     const bool isDue = live == 1 && state.attempts.size() == 1 && now - oldest >= delay;
