--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -166,7 +166,7 @@
     curves = ", ".join(f"'$d' index {n} using 1:2 with linespoints title '{name} p99'" for n, name in enumerate(names))
     cover = ", ".join(f"'$d' index {n} using 1:3 with linespoints title '{name}'" for n, name in enumerate(names))
     script = (f"$d << EOD\n{blocks}\nEOD\nset terminal svg size 900,600 background 'white'\nset output '{path}'\n"
-              f"set multiplot layout 2,1 title '{title}'\nset ylabel 'p99, ms'\nset logscale y\nplot {curves}\nunset logscale y\n"
+              f"set multiplot layout 2,1 title \"{title}\"\nset ylabel 'p99, ms'\nset logscale y\nplot {curves}\nunset logscale y\n"
               f"set ylabel 'coverage'\nset yrange [0:1.05]\nset xlabel 'second'\nplot {cover}\nunset multiplot\n")
     try:
         subprocess.run(["gnuplot"], input=script.encode(), check=True)
--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -36,8 +36,6 @@
              "answer.missing.push_back({ shard, state.reason });", ";"),
     Mutation("attempt echo unchecked", "own answer", "src/connection/replica_owner.cpp",
              "reply.code == ResultCode::Ok && reply.attempt != asked", "false"),
-    Mutation("late reply covers again", "own answer", "src/request/coordinator.cpp",
-             "    if (--query.open == 0)\n", "    if (--query.open <= 1)\n"),
     Mutation("lost reply reported as refused", "refused means not run", "src/request/one_shot_call.h",
              "{ Outcome::Unknown, ResultCode::OutcomeUnknown, {} }", "{ Outcome::Refused, ResultCode::ConnectionLost, {} }"),
     Mutation("unknown permit refused", "refused means not run", "src/request/submissions.cpp",
