Peer links: one silence check a link instead of a timer a call

Cause: perf on a coordinator shows its peer thread as the busiest (230 of 330 ticks in 8 s at 250 searches/s of 20 shards), a part of it in timers: each delivery armed a timeout of its own. Ruled out: the decision thread (69 ticks), backend calls (29). Now each link notes since when nothing returned and one 50 ms check gives up on silent ones.

--- a/src/daemon/peer_io.cpp
+++ b/src/daemon/peer_io.cpp
@@ -65,6 +65,8 @@
         kj::Maybe<wire::Peer::Client> client;
         bool isConnecting = false;
         uint32_t outstanding = 0;
+        /// Since when calls are out without any of them having returned.
+        kj::TimePoint waitingSince = kj::origin<kj::TimePoint>();
         /// Distinguishes connections, so that a late failure does not end a newer one.
         uint64_t generation = 0;
         kj::TimePoint notBefore = kj::origin<kj::TimePoint>();
@@ -97,8 +99,10 @@
             KjRingReader<SendPeer> reader(
                 io_.unixEventPort, hub_.peerMessages, [this](std::unique_ptr<SendPeer> send) { take(*send); }, [this] { flushAll(); });
             kj::Promise<void> reading = reader.run();
-            while (!hub_.stop)
+            while (!hub_.stop) {
                 timer_.afterDelay(50 * kj::MILLISECONDS).wait(io_.waitScope);
+                failSilentLinks();
+            }
         }
 
     private:
@@ -185,14 +189,29 @@
                     encodePeerMessage(*link.queue[i], messages[i]);
                 countBytes(link, messages);
                 link.queue.clear();
-                ++link.outstanding;
+                if (++link.outstanding == 1)
+                    link.waitingSince = timer_.now();
                 const uint64_t generation = link.generation;
-                auto sent = request.send().ignoreResult();
-                tasks_.add(timer_.timeoutAfter(kDeliverTimeout, kj::mv(sent)).then([this, &link, generation] {
-                    if (link.generation != generation)
-                        return;
-                    --link.outstanding;
-                    flush(link); }, [this, &link, generation](kj::Exception&&) { fail(link, generation); }));
+                tasks_.add(request.send().ignoreResult().then([this, &link, generation] { onDelivered(link, generation); }, [this, &link, generation](kj::Exception&&) { fail(link, generation); }));
+            }
+        }
+
+        void onDelivered(Link& link, uint64_t generation)
+        {
+            if (link.generation != generation)
+                return;
+            --link.outstanding;
+            link.waitingSince = timer_.now();
+            flush(link);
+        }
+
+        /// Gives up on links whose calls do not return.
+        void failSilentLinks()
+        {
+            for (auto& [peer, link] : links_) {
+                const bool isSilent = link.outstanding > 0 && timer_.now() - link.waitingSince > kDeliverTimeout;
+                if (isSilent)
+                    fail(link, link.generation);
             }
         }
 
