--- a/src/config.h
+++ b/src/config.h
@@ -52,8 +52,6 @@
 constexpr Millis kEvidenceLease { 2000 };
 /// Time between two preflights of a drained or failed server.
 constexpr Millis kRecheckInterval { 1000 };
-/// Time for which an owner holds a result back for others of the same request.
-constexpr Millis kResultHold { 2 };
 /// Longest wait for a preflight's reply.
 constexpr Millis kPreflightTimeout { 500 };
 /// First and longest pause after a server refused connections.
--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -15,8 +15,6 @@
 
     bool isPast(TimePoint time, TimePoint now) { return time <= now; }
 
-    std::pair<uint64_t, uint64_t> keyOf(RequestId id) { return { id.issuer.value, id.sequence }; }
-
 } // namespace
 
 ReplicaOwner::ReplicaOwner(const Links& links)
@@ -75,7 +73,6 @@
 {
     auto share = std::make_shared<BatchShare>();
     *share = { batch.service, batch.snapshot, batch.mapVersion, batch.limit, batch.query };
-    unreported_[keyOf(batch.request)] += static_cast<uint32_t>(batch.items.size());
     for (const ExecuteItem& item : batch.items) {
         QueuedCall call;
         call.coordinator = from;
@@ -100,10 +97,8 @@
 {
     for (const uint32_t attempt : cancel.attempts) {
         for (auto& [id, replica] : replicas_) {
-            if (replica->queue.size() == 0 || !replica->queue.remove(cancel.request, attempt))
-                continue;
-            noteEnded(cancel.request);
-            break;
+            if (replica->queue.size() > 0 && replica->queue.remove(cancel.request, attempt))
+                break;
         }
         for (auto& [id, call] : calls_) {
             if (call.item.request != cancel.request || call.item.attempt != attempt || call.cancelled)
@@ -243,8 +238,6 @@
 
 TimePoint ReplicaOwner::nextWakeup() const
 {
-    if (!outbox_.empty())
-        return outbox_.front().since + config::kResultHold;
     return context_.now() + (calls_.empty() && queued() == 0 ? config::kTickInterval : Millis(10));
 }
 
@@ -252,12 +245,8 @@
 {
     std::vector<Pending> outbox;
     outbox.swap(outbox_);
-    for (Pending& pending : outbox) {
-        if (isHeld(pending))
-            outbox_.push_back(std::move(pending));
-        else
-            sender_.sendPeer(pending.coordinator, std::move(pending.results));
-    }
+    for (Pending& pending : outbox)
+        sender_.sendPeer(pending.coordinator, std::move(pending.results));
 }
 
 BackendCallId ReplicaOwner::nextCallId()
@@ -543,28 +532,15 @@
         refuse(&replica, call, code);
 }
 
-void ReplicaOwner::noteEnded(RequestId request)
-{
-    const auto it = unreported_.find(keyOf(request));
-    if (it != unreported_.end() && --it->second == 0)
-        unreported_.erase(it);
-}
-
-bool ReplicaOwner::isHeld(const Pending& pending) const
-{
-    return unreported_.contains(keyOf(pending.results.request)) && context_.now() < pending.since + config::kResultHold;
-}
-
 void ReplicaOwner::report(InstanceId coordinator, RequestId request, ExecuteItemResult result)
 {
-    noteEnded(request);
     for (Pending& pending : outbox_) {
         if (pending.coordinator == coordinator && pending.results.request == request) {
             pending.results.items.push_back(std::move(result));
             return;
         }
     }
-    Pending pending { coordinator, { request, {} }, context_.now() };
+    Pending pending { coordinator, { request, {} } };
     pending.results.items.push_back(std::move(result));
     outbox_.push_back(std::move(pending));
 }
@@ -582,9 +558,7 @@
     result.replica = call.item.replica;
     if (replica)
         result.predictedWait = predictedWait(*replica, call.item.priority);
-    if (call.cancelled)
-        noteEnded(call.item.request);
-    else
+    if (!call.cancelled)
         report(call.item.coordinator, call.item.request, std::move(result));
     if (replica)
         pump(*replica);
--- a/src/connection/replica_owner.h
+++ b/src/connection/replica_owner.h
@@ -8,8 +8,6 @@
 #include "../version/fleet_config.h"
 #include "slot_queue.h"
 
-#include <absl/container/flat_hash_map.h>
-
 namespace limpettrestle {
 
 /// Told by the owner about things that concern the whole node.
@@ -98,13 +96,6 @@
         bool cancelled = false;
     };
 
-    /// Results of one coordinator's request that wait to be sent together.
-    struct Pending {
-        InstanceId coordinator;
-        ExecuteResults results;
-        TimePoint since {};
-    };
-
     Replica* find(ReplicaId id);
     bool mayServe(const ReplicaConfig& replica, bool deputy, InstanceId& ownerHint);
     void enqueue(Replica& replica, QueuedCall call, bool deputy);
@@ -121,9 +112,6 @@
     Micros predictedWait(const Replica& replica, PriorityClass priority) const;
     void refuse(const Replica* replica, const QueuedCall& call, ResultCode code, InstanceId ownerHint = {});
     void refuseQueued(Replica& replica, ResultCode code);
-    /// Notes that one accepted item of the request has its result or was cancelled.
-    void noteEnded(RequestId request);
-    bool isHeld(const Pending& pending) const;
     void report(InstanceId coordinator, RequestId request, ExecuteItemResult result);
     void finishCall(BackendCallId id, ExecuteItemResult result);
     void expireCalls();
@@ -139,9 +127,11 @@
     absl::btree_map<ReplicaId, std::unique_ptr<Replica>> replicas_;
     absl::btree_map<BackendCallId, Call> calls_;
     absl::btree_map<BackendCallId, ReplicaId> preflights_;
+    struct Pending {
+        InstanceId coordinator;
+        ExecuteResults results;
+    };
     std::vector<Pending> outbox_;
-    /// Accepted items that have no result yet, by request.
-    absl::flat_hash_map<std::pair<uint64_t, uint64_t>, uint32_t> unreported_;
     uint64_t lastCall_ = 0;
     const TimePoint startedAt_;
 };
--- a/tests/replica_owner_test.cpp
+++ b/tests/replica_owner_test.cpp
@@ -102,8 +102,6 @@
     void expectResult(ResultCode code, bool sent)
     {
         std::vector<ExecuteItemResult> seen;
-        // Results wait for others of their request at most that long.
-        advance(config::kResultHold);
         ALLOW_CALL(sender, sendPeer(kCoordinator, trompeloeil::_)).LR_SIDE_EFFECT(seen = std::get<ExecuteResults>(_2).items);
         owner.flush();
         REQUIRE(seen.size() == 1);
@@ -212,7 +210,6 @@
     CHECK(rig.owner.queued() == 0);
     CHECK(rig.takeCalls().empty());
     std::vector<ExecuteItemResult> seen;
-    rig.advance(config::kResultHold);
     ALLOW_CALL(rig.sender, sendPeer(kCoordinator, trompeloeil::_)).LR_SIDE_EFFECT(seen = std::get<ExecuteResults>(_2).items);
     rig.owner.flush();
     REQUIRE(seen.size() == 2);
