--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -53,7 +53,7 @@
     if (!config_)
         return;
     for (const auto& [id, replicaConfig] : config_->replicaIndex) {
-        const bool isOwn = replicaConfig->zone == context_.zone && ownership_.find(id, context_.zone).owner == context_.self;
+        const bool isOwn = replicaConfig->zone == context_.zone && ownership_.find(*replicaConfig).owner == context_.self;
         if (!isOwn && !replicas_.contains(id))
             continue;
         Replica& replica = *find(id);
@@ -295,7 +295,7 @@
         return true;
     if (replica.zone != context_.zone)
         return false;
-    const Owners owners = ownership_.find(replica.id, replica.zone);
+    const Owners owners = ownership_.find(replica);
     ownerHint = owners.owner;
     if (owners.owner == context_.self)
         return true;
@@ -493,7 +493,7 @@
         return 1;
     // Others may not have settled on this instance yet.
     const TimePoint joined = startedAt_ + config_->policy.settle + config::kHandoverTime;
-    const bool isReduced = !replica.isOwn || joined > context_.now() || replica.reducedUntil > context_.now() || ownership_.isDisputed(replica.config->id);
+    const bool isReduced = !replica.isOwn || joined > context_.now() || replica.reducedUntil > context_.now() || ownership_.isDisputed(*replica.config);
     return isReduced ? half : slots;
 }
 
--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -14,20 +14,20 @@
 
 } // namespace
 
-Owners Ownership::find(ReplicaId replica, ZoneId zone)
+Owners Ownership::find(const ReplicaConfig& replica)
 {
     if (cachedVersion_ != membership_.viewVersion()) {
         cache_.clear();
         cachedVersion_ = membership_.viewVersion();
     }
-    const auto cached = cache_.find(replica);
+    const auto cached = cache_.find({ replica.zone.value, replica.ownerKey });
     if (cached != cache_.end())
         return cached->second;
     Owners owners;
     uint64_t best = 0;
     uint64_t second = 0;
-    for (const InstanceId id : membership_.zoneView(zone)) {
-        const uint64_t value = score(replica.value, id);
+    for (const InstanceId id : membership_.zoneView(replica.zone)) {
+        const uint64_t value = score(replica.ownerKey, id);
         if (!owners.owner.isValid() || value > best) {
             owners.deputy = owners.owner;
             second = best;
@@ -38,21 +38,21 @@
             second = value;
         }
     }
-    cache_.emplace(replica, owners);
+    cache_.emplace(std::pair(replica.zone.value, replica.ownerKey), owners);
     return owners;
 }
 
-bool Ownership::isDisputed(ReplicaId replica) const
+bool Ownership::isDisputed(const ReplicaConfig& replica) const
 {
-    const uint64_t own = score(replica.value, context_.self);
+    const uint64_t own = score(replica.ownerKey, context_.self);
     uint64_t nextLive = 0;
     for (const InstanceId id : membership_.zoneView(context_.zone)) {
-        const uint64_t value = score(replica.value, id);
+        const uint64_t value = score(replica.ownerKey, id);
         if (value < own && value > nextLive)
             nextLive = value;
     }
     for (const InstanceId id : membership_.disputedZoneMembers()) {
-        if (score(replica.value, id) > nextLive)
+        if (score(replica.ownerKey, id) > nextLive)
             return true;
     }
     return false;
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -2,6 +2,7 @@
 
 /// Who owns a replica: rendezvous hashing over the settled view of the replica's zone.
 
+#include "../version/fleet_config.h"
 #include "membership.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -23,11 +24,11 @@
     }
 
     /// Owners of a replica in this instance's view; cached per view version.
-    Owners find(ReplicaId replica, ZoneId zone);
+    Owners find(const ReplicaConfig& replica);
 
     /// True when a member that may be alive behind a cut could own the replica too: one that ranks
     /// before this instance, or that comes next after it.
-    bool isDisputed(ReplicaId replica) const;
+    bool isDisputed(const ReplicaConfig& replica) const;
 
     /// Rank of this instance for a duty of its zone, 0 being first.
     uint32_t rankFor(std::string_view duty) const;
@@ -35,7 +36,8 @@
 private:
     const NodeContext& context_;
     const Membership& membership_;
-    absl::flat_hash_map<ReplicaId, Owners> cache_;
+    /// By zone and owner key.
+    absl::flat_hash_map<std::pair<uint64_t, uint64_t>, Owners> cache_;
     uint64_t cachedVersion_ = 0;
 };
 
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -314,7 +314,7 @@
     deputy = false;
     if (config_->policy.routing != RoutingPolicy::Owner)
         return context_.self;
-    const Owners owners = ownership_.find(replica.id, replica.zone);
+    const Owners owners = ownership_.find(replica);
     if (owners.owner.isValid() && membership_.isReachable(owners.owner))
         return owners.owner;
     if (!owners.deputy.isValid() || !membership_.isReachable(owners.deputy))
--- a/src/request/submissions.cpp
+++ b/src/request/submissions.cpp
@@ -316,7 +316,7 @@
         const ReplicaConfig& replica = replicas[run.nextReplica++];
         if (drains_.isDrained(replica.id))
             continue;
-        const InstanceId owner = config_->policy.routing == RoutingPolicy::Owner ? ownership_.find(replica.id, replica.zone).owner : context_.self;
+        const InstanceId owner = config_->policy.routing == RoutingPolicy::Owner ? ownership_.find(replica).owner : context_.self;
         if (!owner.isValid() || !membership_.isReachable(owner))
             continue;
         run.replica = replica.id;
--- a/src/version/fleet_config.cpp
+++ b/src/version/fleet_config.cpp
@@ -4,6 +4,7 @@
 #include "../json_checks.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace limpettrestle {
 
@@ -87,7 +88,7 @@
             PolicyConfig& policy = config_.policy;
             ObjectCheck check(value, "/policy");
             check.allow({ "routing", "selection", "hedging", "hedge_budget", "retry_budget", "hedge_quantile",
-                "attempt_timeout_ms", "admission", "priority_queue", "settle_ms" });
+                "attempt_timeout_ms", "admission", "priority_queue", "owner_group", "settle_ms" });
             std::string routing = "owner";
             std::string selection = "least_latency";
             check.text("routing", routing);
@@ -99,6 +100,9 @@
             check.number("retry_budget", policy.retryBudget, 0.0, 1.0);
             check.number("hedge_quantile", policy.hedgeQuantile, 0.5, 0.999);
             check.millis("attempt_timeout_ms", policy.attemptTimeout, 1, 60000);
+            uint64_t group = policy.ownerGroup;
+            check.integer("owner_group", group, 1, 64);
+            policy.ownerGroup = static_cast<uint32_t>(group);
             check.millis("settle_ms", policy.settle, 0, 60000);
             if (!accept(check))
                 return false;
@@ -138,10 +142,33 @@
                 if (!readShard(service, shard, shardPlace, slots, connections))
                     return false;
             }
+            assignOwnerKeys(service);
             config_.services.push_back(std::move(service));
             return true;
         }
 
+        /// Groups the service's replicas by zone and place in their shard's list, in shard order.
+        /// Two replicas of one shard are never in one group.
+        void assignOwnerKeys(ServiceConfig& service) const
+        {
+            struct Group {
+                ZoneId zone;
+                size_t place = 0;
+                uint32_t members = 0;
+            };
+            std::vector<Group> groups;
+            for (ShardConfig& shard : service.shards) {
+                for (size_t place = 0; place < shard.replicas.size(); ++place) {
+                    ReplicaConfig& replica = shard.replicas[place];
+                    auto group = std::find_if(groups.begin(), groups.end(), [&](const Group& g) { return g.zone == replica.zone && g.place == place; });
+                    if (group == groups.end())
+                        group = groups.insert(groups.end(), Group { replica.zone, place, 0 });
+                    const uint32_t number = group->members++ / config_.policy.ownerGroup;
+                    replica.ownerKey = hashName(absl::StrCat(service.name, "/", replica.zone.value, "/", place, "/", number));
+                }
+            }
+        }
+
         bool readShard(ServiceConfig& service, const json& value, const std::string& place, uint64_t slots, uint64_t connections)
         {
             if (!value.is_array() || value.empty() || value.size() > 16)
--- a/src/version/fleet_config.h
+++ b/src/version/fleet_config.h
@@ -17,6 +17,8 @@
     ZoneId zone;
     ServiceId service;
     uint32_t shard = 0;
+    /// Replicas with the same key have the same owner; see `PolicyConfig::ownerGroup`.
+    uint64_t ownerKey = 0;
     /// Calls that the server runs at once.
     uint32_t slots = 0;
     /// Connections that the server accepts in total.
@@ -71,6 +73,9 @@
     bool admission = true;
     /// Orders queues by class and deadline; first come, first served otherwise.
     bool priorityQueue = true;
+    /// Replicas of one service and zone that share an owner, so that a coordinator's message to it
+    /// carries several sub-requests.
+    uint32_t ownerGroup = 4;
     /// Settle period before ownership moves.
     Millis settle { 1000 };
 };
