--- a/bench/capacity_main.cpp
+++ b/bench/capacity_main.cpp
@@ -29,11 +29,6 @@
         TimePoint now_ { std::chrono::hours(10) };
     };
 
-    class NullSender final : public PeerSenderI {
-    public:
-        void sendPeer(InstanceId, PeerBody) override { }
-    };
-
     double cpuSeconds()
     {
         timespec time {};
@@ -233,25 +228,23 @@
         NodeContext context(makeInit(clock));
         ConfigProblem problem;
         const FleetConfigPtr config = parseFleetConfig({ 1, 1 }, makeBody(document(replicas, 250, group)), problem);
-        NullSender sender;
-        Membership membership(context, sender);
-        NodeInit init = makeInit(clock);
-        for (int i = 1; i < perZone; ++i)
-            init.seeds.push_back({ absl::StrCat("i-0-", i), absl::StrCat("10.0.1.", i, ":1"), zoneName(0), false, false, 0 });
-        membership.makeGossip = [] { return Gossip {}; };
-        membership.init(init);
-        membership.tick(Millis(0));
-        Ownership ownership(context, membership);
-        ownership.onConfig(*config);
         absl::btree_map<uint64_t, uint32_t> owned;
-        for (const InstanceId id : membership.zoneView(idFromName<ZoneId>(zoneName(0))))
-            owned[id.value] = 0;
-        const double start = cpuSeconds();
+        for (int i = 0; i < perZone; ++i)
+            owned[hashName(absl::StrCat("i-0-", i))] = 0;
         for (const auto& [id, replica] : config->replicaIndex) {
-            if (replica->zone == idFromName<ZoneId>(zoneName(0)))
-                ++owned[ownership.find(*replica).owner.value];
+            if (replica->zone != idFromName<ZoneId>(zoneName(0)))
+                continue;
+            uint64_t best = 0;
+            uint64_t owner = 0;
+            for (const auto& [instance, count] : owned) {
+                const uint64_t score = hashName(absl::StrCat(replica->ownerKey, "/", instance));
+                if (score > best) {
+                    best = score;
+                    owner = instance;
+                }
+            }
+            ++owned[owner];
         }
-        const double ms = 1000 * (cpuSeconds() - start);
         uint32_t most = 0;
         uint32_t none = 0;
         uint32_t total = 0;
@@ -261,7 +254,7 @@
             total += count;
         }
         std::cout << "balance per_zone=" << perZone << " replicas_in_zone=" << total << " owner_group=" << group << " mean=" << static_cast<double>(total) / perZone
-                  << " most=" << most << " without=" << none << " assign_ms=" << ms << "\n";
+                  << " most=" << most << " without=" << none << "\n";
     }
 
 } // namespace
--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -477,7 +477,7 @@
     context_.record(std::move(event));
 }
 
-uint32_t ReplicaOwner::allowedSlots(const Replica& replica)
+uint32_t ReplicaOwner::allowedSlots(const Replica& replica) const
 {
     const uint32_t slots = replica.config->slots;
     const uint32_t half = std::max(1U, slots / 2);
@@ -497,7 +497,7 @@
     return isReduced ? half : slots;
 }
 
-Micros ReplicaOwner::predictedWait(const Replica& replica, PriorityClass priority)
+Micros ReplicaOwner::predictedWait(const Replica& replica, PriorityClass priority) const
 {
     const uint32_t slots = allowedSlots(replica);
     const auto used = static_cast<uint32_t>(replica.inUse + replica.loans.size());
--- a/src/connection/replica_owner.h
+++ b/src/connection/replica_owner.h
@@ -108,8 +108,8 @@
     void noteServer(Replica& replica, const BackendReply& reply);
     void noteDown(Replica& replica);
     void noteUp(Replica& replica);
-    uint32_t allowedSlots(const Replica& replica);
-    Micros predictedWait(const Replica& replica, PriorityClass priority);
+    uint32_t allowedSlots(const Replica& replica) const;
+    Micros predictedWait(const Replica& replica, PriorityClass priority) const;
     void refuse(const Replica* replica, const QueuedCall& call, ResultCode code, InstanceId ownerHint = {});
     void refuseQueued(Replica& replica, ResultCode code);
     void report(InstanceId coordinator, RequestId request, ExecuteItemResult result);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -622,7 +622,6 @@
 
 void Node::Impl::adoptConfig()
 {
-    ownership_.onConfig(*chain_.current());
     coordinator_.onConfig(chain_.current());
     owner_.onConfig(chain_.current());
     submissions_.onConfig(chain_.current());
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -1,7 +1,6 @@
 #pragma once
 
-/// Who owns a replica: rendezvous hashing over the settled view of the replica's zone, with the
-/// load of each instance bounded. Replicas with one owner key are assigned together.
+/// Who owns a replica: rendezvous hashing over the settled view of the replica's zone.
 
 #include "../version/fleet_config.h"
 #include "membership.h"
@@ -24,37 +23,22 @@
     {
     }
 
-    void onConfig(const FleetConfig& config);
-
-    /// Owners of a replica in this instance's view.
+    /// Owners of a replica in this instance's view; cached per view version.
     Owners find(const ReplicaConfig& replica);
 
-    /// True when a member that may be alive behind a cut could own the replica too, or act as its
-    /// deputy, in its own view.
-    bool isDisputed(const ReplicaConfig& replica);
+    /// True when a member that may be alive behind a cut could own the replica too: one that ranks
+    /// before this instance, or that comes next after it.
+    bool isDisputed(const ReplicaConfig& replica) const;
 
     /// Rank of this instance for a duty of its zone, 0 being first.
     uint32_t rankFor(std::string_view duty) const;
 
 private:
-    /// Replicas that are assigned together.
-    struct Group {
-        uint64_t key = 0;
-        uint32_t replicas = 0;
-    };
-    using Assignment = absl::flat_hash_map<uint64_t, Owners>;
-
-    Assignment assign(ZoneId zone, const std::vector<InstanceId>& view) const;
-    void refresh();
-
     const NodeContext& context_;
     const Membership& membership_;
-    absl::flat_hash_map<ZoneId, std::vector<Group>> groups_;
-    absl::flat_hash_map<ZoneId, Assignment> assignments_;
-    uint64_t viewVersion_ = 0;
-    /// Assignment of this zone if the disputed members were part of it.
-    Assignment disputedAssignment_;
-    std::vector<InstanceId> disputed_;
+    /// By zone and owner key.
+    absl::flat_hash_map<std::pair<uint64_t, uint64_t>, Owners> cache_;
+    uint64_t cachedVersion_ = 0;
 };
 
 } // namespace limpettrestle
--- a/tests/replica_owner_test.cpp
+++ b/tests/replica_owner_test.cpp
@@ -50,9 +50,7 @@
         membership.makeGossip = [] { return Gossip {}; };
         membership.init(makeInit());
         ConfigProblem problem;
-        const FleetConfigPtr config = parseFleetConfig({ 1, 1 }, makeBody(R"({"services":{"s":{"map_version":1,"snapshot":1,"slots":2,"connections":4,"shards":[[{"name":"r0","address":"r0","zone":"z"}]]}}})"), problem);
-        ownership.onConfig(*config);
-        owner.onConfig(config);
+        owner.onConfig(parseFleetConfig({ 1, 1 }, makeBody(R"({"services":{"s":{"map_version":1,"snapshot":1,"slots":2,"connections":4,"shards":[[{"name":"r0","address":"r0","zone":"z"}]]}}})"), problem));
         advance(Millis(3000));
     }
 
