A reply proves that a server serves only as of its call; owner groups by setting

The evidence lease now runs from when the call was sent, not from when its reply was read. The default of owner_group goes to 1: with 36 replicas a zone, groups of four left one of three instances with nothing to own; the operator raises it with the fleet's size (CAPACITY).

--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -160,7 +160,7 @@
             replica->adaptiveLimit = std::max(1.0, replica->adaptiveLimit / 2);
         else
             replica->adaptiveLimit = std::min<double>(replica->config->slots, replica->adaptiveLimit + kAdaptiveRaise);
-        noteServer(*replica, reply);
+        noteServer(*replica, reply, call.sentAt);
     }
     ExecuteItemResult result;
     result.sent = true;
@@ -401,6 +401,7 @@
     action.request.shard = replica.config->shard;
     action.request.budget = config::kPreflightTimeout;
     replica.preflight = action.call;
+    replica.preflightSentAt = context_.now();
     replica.preflightUntil = context_.now() + config::kPreflightTimeout;
     replica.recheckAt = context_.now() + config::kRecheckInterval;
     preflights_.emplace(action.call, replica.config->id);
@@ -422,12 +423,12 @@
         noteDown(*replica);
         return true;
     }
-    noteServer(*replica, *reply);
+    noteServer(*replica, *reply, replica->preflightSentAt);
     pump(*replica);
     return true;
 }
 
-void ReplicaOwner::noteServer(Replica& replica, const BackendReply& reply)
+void ReplicaOwner::noteServer(Replica& replica, const BackendReply& reply, TimePoint askedAt)
 {
     const ReplicaId id = replica.config->id;
     noteUp(replica);
@@ -444,8 +445,9 @@
     if (drains_.noteServing(id, reply.serverIncarnation))
         listener_.onServerReturned(id, reply.serverIncarnation);
     if (!drains_.isDrained(id)) {
+        // The reply may have waited through a pause: it speaks of no later time than the call's.
         replica.hasEvidence = true;
-        replica.evidenceAt = context_.now();
+        replica.evidenceAt = std::max(replica.evidenceAt, askedAt);
     }
 }
 
--- a/src/connection/replica_owner.h
+++ b/src/connection/replica_owner.h
@@ -69,11 +69,12 @@
         Micros serviceTime { 8000 };
         uint32_t failures = 0;
         TimePoint downUntil {};
-        /// Last reply that said the server takes work.
+        /// Latest call whose reply said that the server takes work.
         TimePoint evidenceAt {};
         bool hasEvidence = false;
         uint64_t serverIncarnation = 0;
         BackendCallId preflight;
+        TimePoint preflightSentAt {};
         TimePoint preflightUntil {};
         TimePoint recheckAt {};
         /// Reduced share until then: another owner may still use slots.
@@ -105,7 +106,8 @@
     void lend(Replica& replica, const QueuedCall& call);
     void startPreflight(Replica& replica);
     bool onPreflightEnded(BackendCallId call, const BackendReply* reply);
-    void noteServer(Replica& replica, const BackendReply& reply);
+    /// Takes in what a reply to a call of `askedAt` says of the server.
+    void noteServer(Replica& replica, const BackendReply& reply, TimePoint askedAt);
     void noteDown(Replica& replica);
     void noteUp(Replica& replica);
     uint32_t allowedSlots(const Replica& replica) const;
--- a/src/version/fleet_config.h
+++ b/src/version/fleet_config.h
@@ -75,7 +75,7 @@
     bool priorityQueue = true;
     /// Replicas of one service and zone that share an owner, so that a coordinator's message to it
     /// carries several sub-requests.
-    uint32_t ownerGroup = 4;
+    uint32_t ownerGroup = 1;
     /// Settle period before ownership moves.
     Millis settle { 1000 };
 };
--- a/tests/support/bed.cpp
+++ b/tests/support/bed.cpp
@@ -70,7 +70,8 @@
     init.name = hostName;
     init.zone = host.zone;
     init.peerAddress = "peer:" + hostName;
-    init.incarnation = { static_cast<uint64_t>(clock_.now().time_since_epoch() / Millis(1)) << 20 | (host.runs << 4) | 1 };
+    const auto number = static_cast<uint64_t>(std::distance(hosts.begin(), hosts.find(hostName)));
+    init.incarnation = { static_cast<uint64_t>(clock_.now().time_since_epoch() / Millis(1)) << 20 | (host.runs << 8) | (number + 1) };
     init.seed = options_.seed * 1000 + host.runs * 10 + std::hash<std::string>()(hostName) % 1000;
     host.clock.advanceTo(clock_.now());
     init.clock = &host.clock;
--- a/tests/support/promises.cpp
+++ b/tests/support/promises.cpp
@@ -66,7 +66,7 @@
             const uint64_t runs = bed_.runsOf(request.key);
             const Outcome outcome = request.answer.outcome;
             if (outcome == Outcome::Refused && ranBefore(request))
-                fail(Promise::RefusedNotRun, absl::StrCat(request.key, " was refused with ", static_cast<int>(request.answer.code), " and ran"));
+                fail(Promise::RefusedNotRun, absl::StrCat(request.key, " was refused with ", static_cast<int>(request.answer.code), " and ran; ", history(request.key)));
             if (outcome == Outcome::Done && runs != 1)
                 fail(Promise::AtMostOnce, absl::StrCat(request.key, " is done and ran ", runs, " times"));
         }
@@ -87,6 +87,26 @@
             return false;
         }
 
+        /// All submissions of a key, for a failure's message.
+        std::string history(const std::string& key) const
+        {
+            std::string text;
+            for (const auto& [tag, request] : bed_.requests()) {
+                if (request.key != key)
+                    continue;
+                absl::StrAppend(&text, "[#", tag, " at ", request.host, ", ", (request.sentAt.time_since_epoch() / Millis(1)) % 1000000, " ms, answers ", request.answers);
+                if (request.answers > 0)
+                    absl::StrAppend(&text, ", id ", toString(request.answer.request), " code ", static_cast<int>(request.answer.code));
+                absl::StrAppend(&text, "] ");
+            }
+            for (const auto& [serverName, server] : bed_.servers) {
+                const auto it = server->runRequests.find(key);
+                for (size_t i = 0; it != server->runRequests.end() && i < it->second.size(); ++i)
+                    absl::StrAppend(&text, "ran as ", toString(it->second[i]), " ");
+            }
+            return text;
+        }
+
         /// When the submission that ran under the id was sent. One that was never answered does
         /// not show its id: then the earliest of its key counts.
         TimePoint sentAtOf(const std::string& key, const RequestId& id) const
