Time limits of calls move to the owner; a coordinator gives up only silent owners

Ruled out: slots (0 overruns), hedges (356). Change: an owner reports a call that is too long at the server (attempt timeout, at least five times the server's usual time), keeps its slot and cancels it; a coordinator counts an attempt as lost when its owner gave no sign for the attempt timeout.

--- a/src/connection/replica_owner.cpp
+++ b/src/connection/replica_owner.cpp
@@ -11,6 +11,8 @@
     /// Time during which a server that has just started gets one call at a time.
     constexpr Millis kColdTime { 300 };
     constexpr int kServiceTimeWeight = 8;
+    /// Multiple of a server's usual time after which a call counts as lost.
+    constexpr int kSlowCallFactor = 5;
     constexpr double kAdaptiveRaise = 0.05;
 
     bool isPast(TimePoint time, TimePoint now) { return time <= now; }
@@ -219,6 +221,7 @@
 {
     const TimePoint now = context_.now();
     expireCalls();
+    reportSlowCalls();
     std::vector<BackendCallId> lost;
     for (auto& [id, replica] : replicas_) {
         expireLoans(*replica);
@@ -380,7 +383,7 @@
     action.request.body = call.share->query;
     ++replica.inUse;
     ++context_.stats.subRequestsSent;
-    calls_.emplace(action.call, Call { std::move(call), now, false });
+    calls_.emplace(action.call, Call { std::move(call), now, false, false });
     context_.actions->push_back(std::move(action));
 }
 
@@ -560,7 +563,7 @@
     result.replica = call.item.replica;
     if (replica)
         result.predictedWait = predictedWait(*replica, call.item.priority);
-    if (!call.cancelled)
+    if (!call.cancelled && !call.isReported)
         report(call.item.coordinator, call.item.request, std::move(result));
     if (replica)
         pump(*replica);
@@ -589,6 +592,29 @@
     }
 }
 
+void ReplicaOwner::reportSlowCalls()
+{
+    const TimePoint now = context_.now();
+    for (auto& [id, call] : calls_) {
+        const Replica* replica = find(call.item.replica);
+        if (!replica || call.isReported || call.cancelled)
+            continue;
+        const Micros limit = std::max<Micros>(config_->policy.attemptTimeout, kSlowCallFactor * replica->serviceTime);
+        if (now - call.sentAt < limit)
+            continue;
+        call.isReported = true;
+        context_.actions->push_back(CancelBackend { id, replica->config->address, { call.item.request, call.item.attempt } });
+        ExecuteItemResult result;
+        result.attempt = call.item.attempt;
+        result.shard = call.item.shard;
+        result.replica = call.item.replica;
+        result.sent = true;
+        result.code = ResultCode::AttemptTimeout;
+        result.predictedWait = predictedWait(*replica, call.item.priority);
+        report(call.item.coordinator, call.item.request, std::move(result));
+    }
+}
+
 void ReplicaOwner::expireLoans(Replica& replica)
 {
     const TimePoint now = context_.now();
--- a/src/connection/replica_owner.h
+++ b/src/connection/replica_owner.h
@@ -95,6 +95,8 @@
         QueuedCall item;
         TimePoint sentAt {};
         bool cancelled = false;
+        /// The coordinator was told that it takes too long; the slot stays taken until it ends.
+        bool isReported = false;
     };
 
     Replica* find(ReplicaId id);
@@ -117,6 +119,7 @@
     void report(InstanceId coordinator, RequestId request, ExecuteItemResult result);
     void finishCall(BackendCallId id, ExecuteItemResult result);
     void expireCalls();
+    void reportSlowCalls();
     void expireLoans(Replica& replica);
 
     NodeContext& context_;
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -513,7 +513,7 @@
     bool timedOut = false;
     TimePoint oldest = now;
     for (LiveAttempt& attempt : state.attempts) {
-        if (!attempt.lost && now - attempt.sentAt >= query.config->policy.attemptTimeout) {
+        if (!attempt.lost && now - lastSign(attempt) >= query.config->policy.attemptTimeout) {
             attempt.lost = true;
             timedOut = true;
             views_.onSlow(attempt.replica, std::chrono::duration_cast<Micros>(now - attempt.sentAt), now);
@@ -539,6 +539,15 @@
     sendShard(query, shard, SendReason::Hedge);
 }
 
+TimePoint Coordinator::lastSign(const LiveAttempt& attempt) const
+{
+    // An owner that is heard of keeps its calls' time limits itself; only a silent one is given up.
+    if (attempt.owner == context_.self)
+        return context_.now();
+    const Member* owner = membership_.find(attempt.owner);
+    return owner ? std::max(attempt.sentAt, owner->heard) : attempt.sentAt;
+}
+
 void Coordinator::giveUp(Query& query, uint32_t shard, ResultCode reason)
 {
     ShardState& state = query.shards[shard];
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -97,6 +97,8 @@
     bool restartIfMoved(Query& query);
     void review(Query& query);
     void reviewShard(Query& query, uint32_t shard, Micros hedgeDelay, bool mayHedge);
+    /// Last time that the attempt or its owner gave a sign.
+    TimePoint lastSign(const LiveAttempt& attempt) const;
     void giveUp(Query& query, uint32_t shard, ResultCode reason);
     void cancelAttempts(const Query& query, ShardState& shard);
     void closeShard(Query& query);
