Admission by class and by the shard that would wait longest

Cause: a service had one predicted wait for all classes, the last replies' maximum; urgent searches were refused for the deferrable ones' queue (347 of 466). Change: waits are kept by replica and class, age as time passes, and a search's wait is that of its worst shard at the best replica; from half the allowed share on, searches are refused with a rising share, so that instances do not swing together.

--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -15,17 +15,10 @@
     constexpr uint32_t kMaxEmptyRounds = 4;
     /// Hedges are for the last few shards; when more are open the load is at fault.
     constexpr double kHedgeOpenShare = 0.25;
-    constexpr double kPressureWeight = 0.02;
     constexpr Millis kReplicaAvoidTime { 100 };
-    /// Age up to which a predicted wait counts for admission.
-    constexpr Millis kPredictionLife { 100 };
-    /// Share of the deadline that the predicted wait may take, by class.
-    constexpr double kAdmissionShare[kPriorityClassCount] = { 0.8, 0.5, 0.3 };
-
-    bool isLoadRefusal(ResultCode code)
-    {
-        return code == ResultCode::PredictedWaitExceedsDeadline || code == ResultCode::Overloaded || code == ResultCode::ServerShed;
-    }
+    /// Share of the deadline that the predicted wait may take, by class. From half of it on,
+    /// searches are refused with a rising share, so that the instances do not swing together.
+    constexpr double kAdmissionShare[kPriorityClassCount] = { 0.8, 0.6, 0.5 };
 
 } // namespace
 
@@ -47,11 +40,12 @@
 void Coordinator::onSearch(CallerTag tag, SearchRequest request)
 {
     const ServiceConfig* service = nullptr;
-    const ResultCode code = admit(request, service);
+    Micros wait(0);
+    const ResultCode code = admit(request, service, wait);
     if (code != ResultCode::Ok) {
         Millis retryAfter(0);
         if (code == ResultCode::PredictedWaitExceedsDeadline)
-            retryAfter = std::max(Millis(20), std::chrono::duration_cast<Millis>(services_.at(service->id).predictedWait));
+            retryAfter = std::max(Millis(20), std::chrono::duration_cast<Millis>(wait));
         else if (code == ResultCode::Overloaded || code == ResultCode::NotReady)
             retryAfter = Millis(200);
         refuse(tag, code, retryAfter);
@@ -172,7 +166,7 @@
     return services_.try_emplace(query.service->id, query.config->policy.hedgeQuantile).first->second;
 }
 
-ResultCode Coordinator::admit(const SearchRequest& request, const ServiceConfig*& service) const
+ResultCode Coordinator::admit(const SearchRequest& request, const ServiceConfig*& service, Micros& wait)
 {
     if (!config_)
         return ResultCode::NotReady;
@@ -183,16 +177,27 @@
         return ResultCode::DeadlinePassed;
     if (queries_.size() >= maxRequests_)
         return ResultCode::Overloaded;
-    const auto state = services_.find(service->id);
-    if (!config_->policy.admission || state == services_.end())
+    if (!config_->policy.admission)
         return ResultCode::Ok;
     const PriorityClass priority = request.hasClass ? request.priority : service->priority;
-    const double share = kAdmissionShare[static_cast<size_t>(priority)];
-    const bool isFresh = context_.now() - state->second.predictedAt < kPredictionLife;
-    const double allowed = share * static_cast<double>(std::chrono::duration_cast<Micros>(request.deadline).count());
-    if (!isFresh || static_cast<double>(state->second.predictedWait.count()) <= allowed)
-        return ResultCode::Ok;
-    return ResultCode::PredictedWaitExceedsDeadline;
+    wait = predictWait(*service, priority);
+    const double allowed = kAdmissionShare[static_cast<size_t>(priority)] * static_cast<double>(Micros(request.deadline).count());
+    const double excess = 2 * static_cast<double>(wait.count()) / allowed - 1;
+    const bool isAdmitted = excess <= 0 || std::uniform_real_distribution<double>()(context_.random) >= excess;
+    return isAdmitted ? ResultCode::Ok : ResultCode::PredictedWaitExceedsDeadline;
+}
+
+Micros Coordinator::predictWait(const ServiceConfig& service, PriorityClass priority) const
+{
+    const TimePoint now = context_.now();
+    Micros longest(0);
+    for (const ShardConfig& shard : service.shards) {
+        Micros best = Micros::max();
+        for (const ReplicaConfig& replica : shard.replicas)
+            best = std::min(best, views_.predictedWait(replica.id, priority, now));
+        longest = std::max(longest, best);
+    }
+    return longest;
 }
 
 void Coordinator::refuse(CallerTag tag, ResultCode code, Millis retryAfter)
@@ -299,7 +304,7 @@
             continue;
         double score = 1.0;
         if (query.config->policy.selection == SelectionPolicy::LeastLatency)
-            score = static_cast<double>(views_.expected(replica.id, typical, now).count());
+            score = static_cast<double>(views_.expected(replica.id, query.priority, typical, now).count());
         score *= 0.9 + 0.2 * std::uniform_real_distribution<double>()(context_.random);
         if (!best || score < bestScore) {
             best = &replica;
@@ -392,7 +397,7 @@
     const TimePoint now = context_.now();
     const auto took = std::chrono::duration_cast<Micros>(now - attempt.sentAt);
     ShardState& shard = query.shards[item.shard];
-    views_.onAnswered(attempt.replica, took, item.predictedWait, now);
+    views_.onAnswered(attempt.replica, took, now);
     stateOf(query).latency.add(took);
     shard.phase = ShardPhase::Covered;
     shard.body = item.body;
@@ -433,15 +438,7 @@
 void Coordinator::learn(const Query& query, const ExecuteItemResult& item, ResultCode code)
 {
     ServiceState& state = stateOf(query);
-    const TimePoint now = context_.now();
-    views_.at(item.replica).predictedWait = item.predictedWait;
-    state.pressure += kPressureWeight * ((isLoadRefusal(code) ? 1.0 : 0.0) - state.pressure);
-    const bool isOld = now - state.predictedAt > kPredictionLife;
-    if (isOld || item.predictedWait > state.predictedWait)
-        state.predictedWait = item.predictedWait;
-    else
-        state.predictedWait += (item.predictedWait - state.predictedWait) / 8;
-    state.predictedAt = now;
+    views_.onPredicted(item.replica, query.priority, item.predictedWait, context_.now());
     if (code == ResultCode::SnapshotGone && item.newestSnapshot > query.snapshot)
         state.snapshot = std::max(state.snapshot, item.newestSnapshot);
 }
@@ -600,7 +597,7 @@
     } else {
         const bool isTooLittle = answer.shardsCovered == 0 || coverage < query.request.minCoverage;
         answer.code = isTooLittle ? ResultCode::CoverageBelowMinimum : ResultCode::PartialCoverage;
-        answer.retryAfter = std::max(Millis(100), std::chrono::duration_cast<Millis>(stateOf(query).predictedWait));
+        answer.retryAfter = std::max(Millis(100), std::chrono::duration_cast<Millis>(predictWait(*query.service, query.priority)));
         ++context_.stats.searchesPartial;
     }
     record(query, TimelineKind::RequestAnswered, answer.code, answer.shardsCovered, answer.shardsTotal, {});
--- a/src/request/coordinator.h
+++ b/src/request/coordinator.h
@@ -48,12 +48,8 @@
         LatencyQuantile latency;
         LoadBudget hedges { 20 };
         LoadBudget retries { 40 };
-        /// Smoothed share of sub-requests refused for load.
-        double pressure = 0;
         /// Newest snapshot that a server named.
         uint64_t snapshot = 0;
-        Micros predictedWait { 0 };
-        TimePoint predictedAt {};
     };
 
     struct OutgoingBatch {
@@ -79,7 +75,9 @@
 
     Query* find(RequestId id);
     ServiceState& stateOf(const Query& query);
-    ResultCode admit(const SearchRequest& request, const ServiceConfig*& service) const;
+    ResultCode admit(const SearchRequest& request, const ServiceConfig*& service, Micros& wait);
+    /// Wait of the shard that would wait longest, each at its best replica.
+    Micros predictWait(const ServiceConfig& service, PriorityClass priority) const;
     void refuse(CallerTag tag, ResultCode code, Millis retryAfter);
     void start(Query& query);
     void restart(Query& query, uint64_t snapshot);
--- a/src/request/replica_view.cpp
+++ b/src/request/replica_view.cpp
@@ -11,14 +11,30 @@
 
 } // namespace
 
-void ReplicaViews::onAnswered(ReplicaId id, Micros latency, Micros predictedWait, TimePoint now)
+void ReplicaViews::onAnswered(ReplicaId id, Micros latency, TimePoint now)
 {
     ReplicaSight& sight = sights_[id];
     sight.latency = sight.latency.count() == 0 ? latency : sight.latency + (latency - sight.latency) / kLatencyWeight;
-    sight.predictedWait = predictedWait;
     sight.updated = now;
 }
 
+void ReplicaViews::onPredicted(ReplicaId id, PriorityClass priority, Micros wait, TimePoint now)
+{
+    ReplicaSight& sight = sights_[id];
+    sight.predictedWait[static_cast<size_t>(priority)] = wait;
+    sight.predictedAt[static_cast<size_t>(priority)] = now;
+}
+
+Micros ReplicaViews::predictedWait(ReplicaId id, PriorityClass priority, TimePoint now) const
+{
+    const auto it = sights_.find(id);
+    if (it == sights_.end())
+        return Micros(0);
+    const auto index = static_cast<size_t>(priority);
+    const auto age = std::chrono::duration_cast<Micros>(now - it->second.predictedAt[index]);
+    return std::max(Micros(0), it->second.predictedWait[index] - age);
+}
+
 void ReplicaViews::onSlow(ReplicaId id, Micros age, TimePoint now)
 {
     ReplicaSight& sight = sights_[id];
@@ -26,7 +42,7 @@
     sight.updated = now;
 }
 
-Micros ReplicaViews::expected(ReplicaId id, Micros typical, TimePoint now) const
+Micros ReplicaViews::expected(ReplicaId id, PriorityClass priority, Micros typical, TimePoint now) const
 {
     const auto it = sights_.find(id);
     if (it == sights_.end() || it->second.latency.count() == 0)
@@ -35,7 +51,7 @@
     const double age = std::chrono::duration<double>(now - sight.updated) / kFadeTime;
     const double weight = std::exp(-age);
     const double seen = static_cast<double>(sight.latency.count());
-    const double queue = static_cast<double>(sight.predictedWait.count()) * std::exp(-50 * age);
+    const double queue = static_cast<double>(predictedWait(id, priority, now).count());
     const double blended = weight * seen + (1 - weight) * static_cast<double>(typical.count()) + queue;
     return Micros(static_cast<int64_t>(blended * (1.0 + 0.5 * sight.inFlight)));
 }
