Deferrable searches are admitted up to a fifth of their deadline

Cause: shards' queues differ, and a search is partial when one shard's wait passes its deadline; admitted waits near the deadline leave no room. Change: admission shares 0.8, 0.5, 0.2 (were 0.8, 0.6, 0.5).

--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -18,7 +18,7 @@
     constexpr Millis kReplicaAvoidTime { 100 };
     /// Share of the deadline that the predicted wait may take, by class. From half of it on,
     /// searches are refused with a rising share, so that the instances do not swing together.
-    constexpr double kAdmissionShare[kPriorityClassCount] = { 0.8, 0.6, 0.5 };
+    constexpr double kAdmissionShare[kPriorityClassCount] = { 0.8, 0.5, 0.2 };
 
 } // namespace
 
