Choice of the replica as a setting: weighted draw measured, least latency kept

Cause sought: under overload all instances with the same news turn to the same replica. Tries: a draw by the inverse square or fourth power of the expected time, also only among replicas up to 2 or 1.25 times the best. Conclusion: least latency stays the default.

--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpettrestle {
 
@@ -20,6 +21,21 @@
     /// searches are refused with a rising share, so that the instances do not swing together.
     constexpr double kAdmissionShare[kPriorityClassCount] = { 0.8, 0.5, 0.2 };
 
+    /// Key by which a replica competes for a sub-request; the smallest is taken.
+    double selectionKey(SelectionPolicy policy, double expectedMicros, std::mt19937_64& random)
+    {
+        const double draw = std::uniform_real_distribution<double>()(random);
+        switch (policy) {
+        case SelectionPolicy::Weighted:
+            return -std::log1p(-draw) * expectedMicros * expectedMicros;
+        case SelectionPolicy::Random:
+            return draw;
+        case SelectionPolicy::LeastLatency:
+            break;
+        }
+        return expectedMicros * (0.9 + 0.2 * draw);
+    }
+
 } // namespace
 
 Coordinator::Coordinator(const Links& links, uint32_t maxRequests)
@@ -293,8 +309,11 @@
     const ShardState& state = query.shards[shard];
     const std::vector<ReplicaConfig>& replicas = query.service->shards[shard].replicas;
     const Micros typical = services_.at(query.service->id).latency.value(Millis(10)) / 2;
-    const ReplicaConfig* best = nullptr;
-    double bestScore = 0;
+    const SelectionPolicy policy = query.config->policy.selection;
+    const ReplicaConfig* chosen = nullptr;
+    // Each candidate draws a key; the smallest wins. An exponential draw over a weight gives each
+    // candidate its weight's share.
+    double smallest = 0;
     for (uint32_t i = 0; i < replicas.size(); ++i) {
         const ReplicaConfig& replica = replicas[i];
         const bool isTried = (state.tried >> i & 1) != 0;
@@ -302,16 +321,14 @@
         const bool isOpen = !isTried && drains_.isDrained(replica.id) == drained && views_.at(replica.id).avoidUntil <= now;
         if (!isOpen || !pickOwner(replica, deputy).isValid())
             continue;
-        double score = 1.0;
-        if (query.config->policy.selection == SelectionPolicy::LeastLatency)
-            score = static_cast<double>(views_.expected(replica.id, query.priority, typical, now).count());
-        score *= 0.9 + 0.2 * std::uniform_real_distribution<double>()(context_.random);
-        if (!best || score < bestScore) {
-            best = &replica;
-            bestScore = score;
+        const auto expected = static_cast<double>(views_.expected(replica.id, query.priority, typical, now).count());
+        const double key = selectionKey(policy, expected, context_.random);
+        if (!chosen || key < smallest) {
+            chosen = &replica;
+            smallest = key;
         }
     }
-    return best;
+    return chosen;
 }
 
 InstanceId Coordinator::pickOwner(const ReplicaConfig& replica, bool& deputy)
--- a/src/version/fleet_config.cpp
+++ b/src/version/fleet_config.cpp
@@ -28,6 +28,7 @@
     };
     constexpr SelectionName kSelectionNames[] = {
         { SelectionPolicy::LeastLatency, "least_latency" },
+        { SelectionPolicy::Weighted, "weighted" },
         { SelectionPolicy::Random, "random" },
     };
 
@@ -109,7 +110,7 @@
             if (!lookUp(kRoutingNames, routing, policy.routing))
                 return fail("/policy/routing", "one of owner, direct, adaptive");
             if (!lookUp(kSelectionNames, selection, policy.selection))
-                return fail("/policy/selection", "one of least_latency, random");
+                return fail("/policy/selection", "one of least_latency, weighted, random");
             return true;
         }
 
--- a/src/version/fleet_config.h
+++ b/src/version/fleet_config.h
@@ -52,6 +52,8 @@
 enum class SelectionPolicy : uint8_t {
     /// Lowest recent latency, with the present queue.
     LeastLatency,
+    /// Drawn in proportion to the inverse square of that.
+    Weighted,
     /// Uniform choice.
     Random,
 };
