--- a/bench/daemon_slope.py
+++ b/bench/daemon_slope.py
@@ -20,7 +20,8 @@
 def measure(per_zone):
     with Fleet(ZONES, per_zone, [Service("yard-desk", 20)]) as fleet:
         fleet.wait_members(3 * per_zone, 30)
-        time.sleep(3)
+        # Watches of the time before the view had settled end within 10 s.
+        time.sleep(13)
         cpu = [fleet.cpu_seconds(i.process) for i in fleet.instances]
         control = sum(metric(fleet, i, "control_bytes_out_total") for i in fleet.instances)
         reads = call(fleet.platform_port, "/v1/counts")[1]["reads"]
--- a/src/config.h
+++ b/src/config.h
@@ -70,7 +70,7 @@
 constexpr uint32_t kConfigReadersPerZone = 2;
 /// Pause between two reads of an instance that is not a reader: this long for each zone member.
 constexpr Millis kSafetyReadPerMember { 400 };
-constexpr Millis kSafetyReadMin { 10000 };
+constexpr Millis kSafetyReadMin { 30000 };
 /// Wait for peers' configuration at start.
 constexpr Millis kStartPeerWait { 1500 };
 /// Pause between two asks of peers while not ready.
--- a/src/daemon/platform_reader.cpp
+++ b/src/daemon/platform_reader.cpp
@@ -134,6 +134,7 @@
 
 void PlatformOrders::update()
 {
+    absl::MutexLock lock(&mutex_);
     while (const std::unique_ptr<ReadPlatform> order = hub_.platformReads.pop()) {
         isWatching_ = order->watch;
         ++count_;
--- a/src/daemon/platform_reader.h
+++ b/src/daemon/platform_reader.h
@@ -27,6 +27,8 @@
 
 private:
     Hub& hub_;
+    /// Orders are taken one after another, whichever reader takes them.
+    absl::Mutex mutex_;
     std::atomic<bool> isWatching_ { false };
     std::atomic<uint64_t> count_ { 0 };
 };
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import sys
@@ -286,6 +287,31 @@
         wait_for(lambda: fleet.search(victim, "yard-desk")[1]["code"] == 0, 10, "complete search")
 
 
+def test_platform_readers():
+    """Two instances of a zone keep watches on the platform; the others leave it alone."""
+    with small_fleet(per_zone=4, shards=2) as fleet:
+        fleet.wait_members(8)
+        time.sleep(12)  # Watches of the time before the view had settled have ended.
+
+        def calls():
+            out = {}
+            for instance in fleet.instances:
+                text = call(instance.admin, "/metrics")[1]
+                out[instance.name] = float(re.search(r"^limpettrestle_platform_calls_total ([0-9.e+]+)", text, re.M).group(1))
+            return out
+
+        before = calls()
+        time.sleep(11)
+        after = calls()
+        readers = {i.name for i in fleet.instances if fleet.status(i)["config_reader"]}
+        require(len(readers) == 4, f"readers {readers}")
+        for name, count in after.items():
+            made = count - before[name]
+            # A watch waits 10 s; another instance may make one rationed read of each topic.
+            require(made >= 2 if name in readers else made <= 2, f"{name} made {made} calls, reader: {name in readers}")
+        require(sum(after[n] == before[n] for n in after) >= 2, f"no instance left the platform alone: {before} {after}")
+
+
 def test_zone_lost():
     """With a zone gone, an answer is partial, names the missing shards, and comes before its deadline."""
     with small_fleet(per_zone=2) as fleet:
