--- a/bench/capacity_main.cpp
+++ b/bench/capacity_main.cpp
@@ -126,6 +126,8 @@
         const double start = cpuSeconds();
         std::vector<Action> actions;
         std::mt19937_64 random(1);
+        const int zoneMates = members / kZones - 1;
+        const auto others = static_cast<uint64_t>(std::max(1, zoneMates));
         for (int tick = 0; tick < kSeconds * 20; ++tick) {
             clock.advance(Millis(50));
             actions.clear();
@@ -133,7 +135,7 @@
             answerProbes(*node, actions, bytes);
             if (tick % 20 != 0)
                 continue;
-            const auto other = idFromName<InstanceId>(absl::StrCat("i-0-", 1 + random() % static_cast<uint64_t>(std::max(1, members / kZones - 1))));
+            const auto other = idFromName<InstanceId>(absl::StrCat("i-0-", 1 + random() % others));
             actions.clear();
             node->handle(PeerReceived { { other, { 5 }, {}, Probe { static_cast<uint64_t>(tick), {} } } }, actions);
             answerProbes(*node, actions, bytes);
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -182,7 +182,7 @@
     {
         if (values.empty())
             return 0;
-        const auto index = static_cast<size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+        const auto index = static_cast<size_t>(std::lround(q * static_cast<double>(values.size() - 1)));
         std::nth_element(values.begin(), values.begin() + static_cast<ptrdiff_t>(index), values.end());
         return values[index];
     }
--- a/include/limpettrestle/limpettrestle.h
+++ b/include/limpettrestle/limpettrestle.h
@@ -420,6 +420,9 @@
 using PeerBody = std::variant<Probe, ProbeAck, ProbeRequest, Notice, ConfigNews, StateRequest, StateReply,
     ExecuteBatch, ExecuteResults, CancelBatch, SlotRequest, SlotReply, SlotRelease, SubmitForward, SubmitOutcome>;
 
+/// True for messages of membership and configuration, false for those of requests.
+bool isControlMessage(const PeerBody& body);
+
 /// Message between two instances.
 struct PeerMessage {
     InstanceId from;
--- a/src/daemon/peer_io.cpp
+++ b/src/daemon/peer_io.cpp
@@ -22,11 +22,6 @@
     /// Words a message may read: a configuration document of 1 MB and some room.
     constexpr uint64_t kTraversalWords = 8 << 20;
 
-    bool isControl(const PeerBody& body)
-    {
-        return body.index() <= PeerBody(StateReply {}).index();
-    }
-
     class PeerServer final : public wire::Peer::Server {
     public:
         explicit PeerServer(Hub& hub)
@@ -220,7 +215,7 @@
             for (uint32_t i = 0; i < messages.size(); ++i) {
                 const uint64_t bytes = messages[i].asReader().totalSize().wordCount * sizeof(capnp::word);
                 hub_.peerBytesOut += bytes;
-                if (isControl(link.queue[i]->body))
+                if (isControlMessage(link.queue[i]->body))
                     hub_.controlBytesOut += bytes;
             }
         }
--- a/src/names.cpp
+++ b/src/names.cpp
@@ -45,6 +45,11 @@
 std::string_view name(Phase value) { return nameIn(kPhaseNames, value); }
 std::string_view name(TimelineKind value) { return nameIn(kTimelineNames, value); }
 
+bool isControlMessage(const PeerBody& body)
+{
+    return body.index() <= PeerBody(StateReply {}).index();
+}
+
 uint64_t hashName(std::string_view text)
 {
     const uint64_t hash = XXH64(text.data(), text.size(), 0);
--- /dev/null
+++ b/src/node_p.h
@@ -0,0 +1,120 @@
+#pragma once
+
+/// Private declaration of the node: its parts and the handlers of events and messages.
+
+#include "limpettrestle/limpettrestle.h"
+
+#include "connection/replica_owner.h"
+#include "request/coordinator.h"
+#include "request/submissions.h"
+#include "version/config_chain.h"
+
+#include <deque>
+
+namespace limpettrestle {
+
+class Node::Impl final : public PeerSenderI, public OwnerListenerI {
+public:
+    explicit Impl(const NodeInit& init);
+
+    void handle(const Event& event, std::vector<Action>& actions);
+    TimePoint nextWakeup() const;
+    NodeStatus status() const;
+    bool isReady() const { return phase_ == Phase::Serving; }
+    Phase phase() const { return phase_; }
+    const NodeStats& stats() const { return context_.stats; }
+    Body configText() const;
+
+    void sendPeer(InstanceId to, PeerBody body) override;
+    void onServerDraining(ReplicaId replica, uint64_t serverIncarnation) override;
+    void onServerReturned(ReplicaId replica, uint64_t serverIncarnation) override;
+
+private:
+    struct DrainNews {
+        DrainRecord record;
+        int spread = 0;
+    };
+
+    void on(const CallerSearch& event);
+    void on(const CallerPermit& event);
+    void on(const CallerSubmit& event);
+    void on(const PeerReceived& event);
+    void on(const PeerFailed& event);
+    void on(const BackendReplied& event);
+    void on(const BackendFailed& event);
+    void on(const PlatformMembersRead& event);
+    void on(const PlatformConfigRead& event);
+    void on(const PlatformFailed& event);
+    void on(const Tick& event);
+    void on(const ShutdownRequested& event);
+
+    void onPeer(InstanceId from, const Probe& probe);
+    void onPeer(InstanceId from, const ProbeAck& ack);
+    void onPeer(InstanceId from, const ProbeRequest& request);
+    void onPeer(InstanceId from, const Notice& notice);
+    void onPeer(InstanceId from, const ConfigNews& news);
+    void onPeer(InstanceId from, const StateRequest& request);
+    void onPeer(InstanceId from, const StateReply& reply);
+    void onPeer(InstanceId from, const ExecuteBatch& batch);
+    void onPeer(InstanceId from, const ExecuteResults& results);
+    void onPeer(InstanceId from, const CancelBatch& cancel);
+    void onPeer(InstanceId from, const SlotRequest& request);
+    void onPeer(InstanceId from, const SlotReply& reply);
+    void onPeer(InstanceId from, const SlotRelease& release);
+    void onPeer(InstanceId from, const SubmitForward& forward);
+    void onPeer(InstanceId from, const SubmitOutcome& outcome);
+
+    void dispatch(const PeerMessage& message);
+    void runLoopback();
+    void finishEvent();
+    void noticeLateWake();
+    void periodic();
+    bool isStale(Micros budget) const;
+    /// Answers a caller's request that cannot be taken now. Returns false when it can.
+    bool refusesNewWork(CallerTag tag, bool mayHaveRun);
+    Gossip makeGossip();
+    void takeGossip(InstanceId from, const Gossip& gossip);
+    void takeDrain(const DrainRecord& record);
+    void spreadDrain(TimelineKind kind, const DrainRecord& record);
+    void sendNotices();
+    void takeConfigStep(const ConfigChain::Step& step);
+    void adoptConfig();
+    void sendConfigNews();
+    std::vector<InstanceId> pickNoticePeers();
+    void steerPlatformReads();
+    void tryToServe();
+    void tryToStop();
+    void setPhase(Phase phase);
+    void onViewChanged();
+    Millis settle() const;
+
+    NodeContext context_;
+    Membership membership_;
+    Ownership ownership_;
+    DrainTable drains_;
+    ConfigChain chain_;
+    ReplicaOwner owner_;
+    Coordinator coordinator_;
+    Submissions submissions_;
+    const Millis balancerLag_;
+    const Millis drainLimit_;
+    Phase phase_ = Phase::Starting;
+    TimePoint lastEvent_ {};
+    TimePoint nextPeriodic_ {};
+    TimePoint startedAt_ {};
+    TimePoint leavingAt_ {};
+    TimePoint wakingUntil_ {};
+    TimePoint nextStartAsk_ {};
+    TimePoint nextSafetyRead_ {};
+    HlcTime messageTime_;
+    bool heardState_ = false;
+    bool platformAnswered_ = false;
+    bool knowsMembers_ = false;
+    bool isReader_ = false;
+    bool newsToSend_ = false;
+    bool noticeToSend_ = false;
+    std::vector<DrainNews> drainNews_;
+    std::deque<PeerMessage> loopback_;
+};
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/request/coordinator_send.cpp
@@ -0,0 +1,147 @@
+/// Which replica and owner a sub-request goes to, and the messages that carry it.
+
+#include "coordinator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Key by which a replica competes for a sub-request; the smallest is taken.
+    double selectionKey(SelectionPolicy policy, double expectedMicros, std::mt19937_64& random)
+    {
+        const double draw = std::uniform_real_distribution<double>()(random);
+        switch (policy) {
+        case SelectionPolicy::Weighted:
+            return -std::log1p(-draw) * expectedMicros * expectedMicros;
+        case SelectionPolicy::Random:
+            return draw;
+        case SelectionPolicy::LeastLatency:
+            break;
+        }
+        return expectedMicros * (0.9 + 0.2 * draw);
+    }
+
+} // namespace
+
+bool Coordinator::sendShard(Query& query, uint32_t shard, SendReason reason, const Redirect& redirect)
+{
+    ShardState& state = query.shards[shard];
+    bool deputy = false;
+    InstanceId owner = redirect.owner;
+    const ReplicaConfig* replica = owner.isValid() ? query.config->findReplica(redirect.replica) : nullptr;
+    if (!replica) {
+        replica = pickReplica(query, shard);
+        if (!replica)
+            return false;
+        owner = pickOwner(*replica, deputy);
+    }
+    const std::vector<ReplicaConfig>& replicas = query.service->shards[shard].replicas;
+    for (uint32_t i = 0; i < replicas.size(); ++i) {
+        if (replicas[i].id == replica->id)
+            state.tried |= 1U << i;
+    }
+    LiveAttempt attempt;
+    attempt.number = ++query.lastAttempt;
+    attempt.replica = replica->id;
+    attempt.owner = owner;
+    attempt.sentAt = context_.now();
+    attempt.hedge = reason == SendReason::Hedge;
+    state.attempts.push_back(attempt);
+    ++state.sent;
+    ++views_.at(replica->id).inFlight;
+    ServiceState& service = stateOf(query);
+    service.hedges.earn(query.config->policy.hedgeBudget);
+    service.retries.earn(query.config->policy.retryBudget);
+    if (reason != SendReason::First)
+        record(query, attempt.hedge ? TimelineKind::HedgeSent : TimelineKind::RetrySent, ResultCode::Ok, shard, attempt.number, replica->name);
+    addToBatch(query, owner, { attempt.number, shard, replica->id, attempt.hedge, deputy });
+    return true;
+}
+
+const ReplicaConfig* Coordinator::pickReplica(const Query& query, uint32_t shard)
+{
+    const ReplicaConfig* replica = pickReplicaAmong(query, shard, false);
+    // The owner knows best whether a server serves again; it refuses unsent when it does not.
+    return replica ? replica : pickReplicaAmong(query, shard, true);
+}
+
+const ReplicaConfig* Coordinator::pickReplicaAmong(const Query& query, uint32_t shard, bool drained)
+{
+    const TimePoint now = context_.now();
+    const ShardState& state = query.shards[shard];
+    const std::vector<ReplicaConfig>& replicas = query.service->shards[shard].replicas;
+    const Micros typical = services_.at(query.service->id).latency.value(Millis(10)) / 2;
+    const SelectionPolicy policy = query.config->policy.selection;
+    const ReplicaConfig* chosen = nullptr;
+    // Each candidate draws a key; the smallest wins. An exponential draw over a weight gives each
+    // candidate its weight's share.
+    double smallest = 0;
+    for (uint32_t i = 0; i < replicas.size(); ++i) {
+        const ReplicaConfig& replica = replicas[i];
+        const bool isTried = (state.tried >> i & 1) != 0;
+        bool deputy = false;
+        const bool isOpen = !isTried && drains_.isDrained(replica.id) == drained && views_.at(replica.id).avoidUntil <= now;
+        if (!isOpen || !pickOwner(replica, deputy).isValid())
+            continue;
+        const auto expected = static_cast<double>(views_.expected(replica.id, query.priority, typical, now).count());
+        const double key = selectionKey(policy, expected, context_.random);
+        if (!chosen || key < smallest) {
+            chosen = &replica;
+            smallest = key;
+        }
+    }
+    return chosen;
+}
+
+InstanceId Coordinator::pickOwner(const ReplicaConfig& replica, bool& deputy)
+{
+    deputy = false;
+    if (config_->policy.routing != RoutingPolicy::Owner)
+        return context_.self;
+    const Owners owners = ownership_.find(replica);
+    if (owners.owner.isValid() && membership_.isReachable(owners.owner))
+        return owners.owner;
+    if (!owners.deputy.isValid() || !membership_.isReachable(owners.deputy))
+        return {};
+    deputy = true;
+    return owners.deputy;
+}
+
+void Coordinator::addToBatch(const Query& query, InstanceId owner, ExecuteItem item)
+{
+    for (OutgoingBatch& outgoing : outbox_) {
+        if (outgoing.to == owner && outgoing.request == query.id && outgoing.batch.snapshot == query.snapshot) {
+            outgoing.batch.items.push_back(item);
+            return;
+        }
+    }
+    OutgoingBatch outgoing { owner, query.id, {} };
+    outgoing.batch.request = query.id;
+    outgoing.batch.service = query.service->id;
+    outgoing.batch.snapshot = query.snapshot;
+    outgoing.batch.mapVersion = query.service->mapVersion;
+    outgoing.batch.configVersion = query.config->stamp.version;
+    outgoing.batch.limit = query.request.limit;
+    outgoing.batch.priority = query.priority;
+    outgoing.batch.query = query.text;
+    outgoing.batch.items.push_back(item);
+    outbox_.push_back(std::move(outgoing));
+}
+
+Micros Coordinator::predictWait(const ServiceConfig& service, PriorityClass priority) const
+{
+    const TimePoint now = context_.now();
+    Micros longest(0);
+    for (const ShardConfig& shard : service.shards) {
+        Micros best = Micros::max();
+        for (const ReplicaConfig& replica : shard.replicas)
+            best = std::min(best, views_.predictedWait(replica.id, priority, now));
+        longest = std::max(longest, best);
+    }
+    return longest;
+}
+
+} // namespace limpettrestle
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -41,6 +41,7 @@
         SubmitForward { request, { { 1 }, { 2 }, 3, 4 }, "yard", "key", "body", Micros(8) },
         SubmitOutcome { request, Outcome::Unknown, ResultCode::OutcomeUnknown, Millis(9), "body" } };
     std::vector<PeerMessage> messages;
+    messages.reserve(bodies.size());
     for (PeerBody& body : bodies)
         messages.push_back({ { 11 }, { 12 }, { 13, 14 }, std::move(body) });
     return messages;
