--- a/tools/mutate.py
+++ b/tools/mutate.py
@@ -64,7 +64,7 @@
              "    if (gap < config::kLateWakeGap)\n        return;", "    (void)gap;\n    return;"),
     Mutation("no restart on a newer snapshot", "one snapshot", "src/request/coordinator.cpp",
              "const bool snapshotMoved = query.newerSnapshot > query.snapshot;", "const bool snapshotMoved = false;"),
-    Mutation("news of a returned server not spread", "true coverage", "src/request/coordinator.cpp",
+    Mutation("news of a returned server not spread", "true coverage", "src/request/coordinator_send.cpp",
              "return replica ? replica : pickReplicaAmong(query, shard, true);", "return replica;"),
 ]
 
