A link to a peer that has ended is taken down at once

Cause: in the full set, shutdown_under_load had 6 of 1,357 searches partial (one shard, attempt timeout). A restarted instance has its old address; the first message to it went out on the ended connection, was lost, and the data path avoided the instance for up to 500 ms, while its only zone mate was just leaving. Ruled out: settle period (a zone without settled members is served by those present). Now a disconnect closes the link, so the next message connects anew. The last lint findings are mended.

--- a/bench/capacity_main.cpp
+++ b/bench/capacity_main.cpp
@@ -158,11 +158,11 @@
         const size_t before = heapBytes();
         chain.takeRecord(first);
         const size_t heap = heapBytes() - before;
-        constexpr int kChanges = 5;
+        constexpr uint64_t kChanges = 5;
         const double start = cpuSeconds();
-        for (int i = 0; i < kChanges; ++i) {
+        for (uint64_t i = 0; i < kChanges; ++i) {
             ConfigRecord patch;
-            patch.revision = static_cast<uint64_t>(i + 2);
+            patch.revision = i + 2;
             patch.change = absl::StrCat("change-", i);
             patch.base = chain.stamp();
             patch.text = absl::StrCat("[{\"op\":\"replace\",\"path\":\"/services/service-0/snapshot\",\"value\":", i + 2, "}]");
--- a/src/daemon/peer_io.cpp
+++ b/src/daemon/peer_io.cpp
@@ -170,11 +170,34 @@
                     link.stream = kj::mv(stream);
                     link.rpc = kj::heap<capnp::TwoPartyClient>(*link.stream);
                     link.client = link.rpc->bootstrap().castAs<wire::Peer>();
+                    watch(link);
                     flush(link);
                 },
                 [this, &link, generation](kj::Exception&&) { fail(link, generation); }));
         }
 
+        /// Takes a link down when its peer ends, so that the next message meets a new connection and
+        /// is not lost on the old one.
+        void watch(Link& link)
+        {
+            const uint64_t generation = link.generation;
+            tasks_.add(link.rpc->onDisconnect().then([this, &link, generation] {
+                if (link.generation == generation && link.outstanding > 0)
+                    fail(link, generation);
+                else
+                    closeLater(link, generation);
+            }));
+        }
+
+        /// Takes a connection down outside its own callback.
+        void closeLater(Link& link, uint64_t generation)
+        {
+            tasks_.add(kj::evalLater([this, &link, generation] {
+                if (link.generation == generation)
+                    close(link);
+            }));
+        }
+
         void send(Link& link)
         {
             KJ_IF_MAYBE (client, link.client) {
@@ -237,11 +260,7 @@
             link.queue.clear();
             link.notBefore = timer_.now() + kReconnectPause;
             report(link);
-            // The connection is taken down outside its own callback.
-            tasks_.add(kj::evalLater([this, &link, generation] {
-                if (link.generation == generation)
-                    close(link);
-            }));
+            closeLater(link, generation);
         }
 
         void report(const Link& link)
--- a/tests/support/fault_matrix.cpp
+++ b/tests/support/fault_matrix.cpp
@@ -42,7 +42,7 @@
         if (bed.hosts.contains(context.other))
             return context.other;
         const std::vector<std::string> live = bed.liveHosts();
-        const std::string host = pickHost(bed, context.host);
+        std::string host = pickHost(bed, context.host);
         for (const std::string& other : live) {
             if (other != host)
                 return other;
@@ -257,7 +257,7 @@
         const std::vector<std::string> hosts = { "a0", "b0", "a1", "b1", "a2" };
         int i = 0;
         for (Millis time(0); time < kTrafficTime; time += kTrafficGap, ++i) {
-            const std::string host = hosts[static_cast<size_t>(i) % hosts.size()];
+            const std::string& host = hosts[static_cast<size_t>(i) % hosts.size()];
             bed.at(time, [&bed, host] { bed.search(host, kSearchDeadline); });
             if (i % 3 == 1)
                 bed.at(time, [&bed, host, i] { bed.submit(host, absl::StrCat("once-", i)); });
@@ -267,7 +267,7 @@
             const std::string key = absl::StrCat("permit-", n);
             const uint64_t tag = bed.requestPermit(hosts[static_cast<size_t>(n)], key);
             for (int use = 0; use < 3; ++use) {
-                const std::string host = hosts[static_cast<size_t>(n + use) % hosts.size()];
+                const std::string& host = hosts[static_cast<size_t>(n + use) % hosts.size()];
                 bed.at(Millis(40) + n * Millis(100) + use * Millis(use == 2 ? 900 : 30), [&bed, host, key, tag] {
                     if (bed.request(tag).answer.permit.isValid())
                         bed.submit(host, key, bed.request(tag).answer.permit);
