--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -146,12 +146,10 @@
     }
 }
 
-TEST_CASE("a starting instance takes the fleet's version from its peers when the platform is stale")
+TEST_CASE("a starting instance takes the fleet's version from its peers when the platform went back")
 {
     Bed bed({});
     bed.startAll();
-    bed.platformStale = true;
-    bed.platformStale = false;
     bed.publish("change", bed.stampAt("a1"), R"([{"op":"add","path":"/note","value":"x"}])");
     bed.runFor(Millis(1000));
     bed.platformGoBack(1);
--- a/tests/support/bed.cpp
+++ b/tests/support/bed.cpp
@@ -278,18 +278,6 @@
     platformChanged();
 }
 
-std::string Bed::ownerOf(const std::string& server)
-{
-    // Names the live instance of the server's zone that says it owns it, by asking where a search
-    // would be sent: rendezvous order over live hosts of the zone.
-    std::string best;
-    for (const auto& [hostName, host] : hosts) {
-        if (host.zone == serverZone.at(server) && host.alive && (best.empty() || (random() & 1U) != 0))
-            best = hostName;
-    }
-    return best;
-}
-
 std::string Bed::document() const
 {
     std::string shards;
@@ -376,8 +364,6 @@
     }
     std::vector<Action> actions;
     host.node->handle(event, actions);
-    const uint64_t version = host.node->stats().configVersion;
-    (void)version;
     if (std::holds_alternative<CallerSearch>(event) || std::holds_alternative<CallerSubmit>(event))
         step(Step::Plan, host.name);
     for (Action& action : actions) {
--- a/tests/support/bed.h
+++ b/tests/support/bed.h
@@ -125,7 +125,6 @@
     /// Called at each step with the hosts and server it concerns.
     std::function<void(Step, const std::string& host, const std::string& other)> onStep;
 
-    std::string ownerOf(const std::string& server);
     std::string document() const;
     uint64_t runsOf(const std::string& key) const;
     uint64_t totalSlotOverruns() const;
