--- a/include/limpettrestle/result_codes.h
+++ b/include/limpettrestle/result_codes.h
@@ -74,6 +74,7 @@
     ConnectFailed = 710,
     ConnectionLost = 711,
     AttemptTimeout = 712,
+    ServerFailed = 713,
 
     PlatformUnreachable = 801,
     PlatformRateLimited = 802,
--- a/src/connection/latency_quantile.h
+++ b/src/connection/latency_quantile.h
@@ -12,8 +12,10 @@
 
 class LatencyQuantile {
 public:
-    explicit LatencyQuantile(double quantile)
+    /// `window`: samples after which the value is renewed.
+    explicit LatencyQuantile(double quantile, int window = kDefaultWindow)
         : quantile_(quantile)
+        , windowSize_(window)
         , window_(boost::accumulators::quantile_probability = quantile)
     {
     }
@@ -21,7 +23,7 @@
     void add(Micros latency)
     {
         window_(static_cast<double>(latency.count()));
-        if (++count_ < kWindow)
+        if (++count_ < windowSize_)
             return;
         last_ = Micros(static_cast<int64_t>(boost::accumulators::p_square_quantile(window_)));
         hasLast_ = true;
@@ -36,9 +38,10 @@
 private:
     using Accumulator = boost::accumulators::accumulator_set<double,
         boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
-    static constexpr int kWindow = 512;
+    static constexpr int kDefaultWindow = 512;
 
     double quantile_;
+    int windowSize_;
     Accumulator window_;
     int count_ = 0;
     bool hasLast_ = false;
--- /dev/null
+++ b/src/connection/replica_health.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// What replies and silences tell of one replica.
+
+#include "limpettrestle/routing.h"
+
+#include <vector>
+
+namespace limpettrestle {
+
+class ReplicaHealth {
+public:
+    /// A call was handed to the replica; `expected` is the usual time of such a call.
+    void callSent(uint64_t call, TimePoint now, Micros expected);
+    /// The call was answered. `expected` is the usual time of such a call.
+    void callAnswered(uint64_t call, TimePoint now);
+    /// The call ended without an answer; `isFault` where that speaks against the replica.
+    void callEnded(uint64_t call, TimePoint now, bool isFault);
+    /// A connection could not be made.
+    void connectFailed(TimePoint now);
+    /// A connection was made.
+    void connected(TimePoint now);
+    /// Load as told by the replica.
+    void loadTold(int running, int waiting, TimePoint now);
+
+    /// True while a call waits unusually long and nothing was heard from the replica since.
+    bool isSilent(TimePoint now) const;
+    /// True while faults in a row keep new calls away.
+    bool isAvoided(TimePoint now) const { return now < avoidUntil_; }
+    /// True when no more than one fault stands since the last answer.
+    bool isDoubtful() const { return faultsInRow_ <= 1; }
+    /// Time of a call as a multiple of the usual one; 1 where nothing is known.
+    double slowness(TimePoint now) const;
+    /// Requests expected to run before a new one.
+    double backlog(TimePoint now) const;
+    size_t inFlight() const { return calls_.size(); }
+    TimePoint lastAnswer() const { return lastAnswer_; }
+
+private:
+    struct OpenCall {
+        uint64_t id;
+        TimePoint sentAt;
+        Micros expected;
+    };
+
+    void recordFault(TimePoint now);
+
+    std::vector<OpenCall> calls_;
+    double slowness_ = 1.0;
+    TimePoint slownessAt_ {};
+    TimePoint lastAnswer_ {};
+    TimePoint lastFault_ {};
+    TimePoint avoidUntil_ {};
+    /// Calls that ended unanswered since the last answer.
+    uint32_t faultsInRow_ = 0;
+    int waiting_ = 0;
+    TimePoint loadAt_ {};
+};
+
+} // namespace limpettrestle
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -50,12 +50,7 @@
         {
             if (check.ok())
                 return true;
-            ResultCode code = ResultCode::SettingsBadValue;
-            if (check.code() == ResultCode::UnknownField)
-                code = ResultCode::SettingsUnknownKey;
-            else if (check.code() == ResultCode::MissingField)
-                code = ResultCode::SettingsMissingKey;
-            return fail(code, check.place(), check.expected());
+            return fail(settingsCodeOf(check.code()), check.place(), check.expected());
         }
 
         bool readEndpoint(const json& root, const std::string& key, Endpoint& out)
@@ -158,6 +153,18 @@
     return settings;
 }
 
+ResultCode settingsCodeOf(ResultCode problem)
+{
+    switch (problem) {
+    case ResultCode::UnknownField:
+        return ResultCode::SettingsUnknownKey;
+    case ResultCode::MissingField:
+        return ResultCode::SettingsMissingKey;
+    default:
+        return ResultCode::SettingsBadValue;
+    }
+}
+
 bool parseEndpoint(std::string_view text, Endpoint& out)
 {
     const size_t colon = text.rfind(':');
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -51,6 +51,9 @@
 boost::leaf::result<DaemonSettings> loadSettings(const std::string& file);
 boost::leaf::result<DaemonSettings> parseSettings(const std::string& file, const std::string& text);
 
+/// Settings code of a problem that an `ObjectCheck` found.
+ResultCode settingsCodeOf(ResultCode problem);
+
 /// Parses "ip:port"; false on malformed input.
 bool parseEndpoint(std::string_view text, Endpoint& out);
 
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,352 @@
+#include "gateway.h"
+
+#include "../../platform/request_codec.h"
+#include "../../platform/wire_names.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+#include <random>
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Time between two rounds of house keeping: well below the shortest limit that it watches.
+    constexpr Millis kHousePeriod { 250 };
+    /// A gap of the loop beyond this means that the process was suspended or starved.
+    constexpr Millis kSuspensionGap { 1000 };
+    /// After a stop signal the balancer needs two missed checks, a second apart, to look elsewhere.
+    constexpr Millis kBalancerLag { 2500 };
+    /// Kept free before the end of the grace period.
+    constexpr Millis kGraceMargin { 500 };
+    /// Entries that lapsed while the registry was away are back within this time of its return.
+    constexpr Millis kReturnTime { 2000 };
+    /// Share of the allowed repeat ratio that is used; the rest covers windows that fall unevenly.
+    constexpr double kRatioShare = 0.85;
+    constexpr std::string_view kMetricsPath = "/metrics";
+    constexpr std::string_view kStatusPath = "/status";
+
+    HttpResponse textResponse(int status, std::string body)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+        response.body = std::move(body);
+        return response;
+    }
+
+} // namespace
+
+/// Listener whose pages are answered at once.
+class Gateway::PageServer final : public HttpHandlerI {
+public:
+    using Page = std::function<HttpResponse(const HttpRequest&)>;
+
+    PageServer(uv_loop_t* loop, const ClockI& clock, Page page)
+        : server(loop, *this, clock)
+        , page_(std::move(page))
+    {
+    }
+
+    void onRequest(ExchangeId exchange, HttpRequest request) override { server.respond(exchange, page_(request)); }
+    void onCallerLeft(ExchangeId /*exchange*/) override { }
+
+    HttpServer server;
+
+private:
+    Page page_;
+};
+
+Gateway::Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log)
+    : settings_(settings)
+    , settingsFile_(std::move(settingsFile))
+    , clock_(clock)
+    , log_(log)
+    , directory_([this](const ReplicaPtr& replica) { links_->replicaLeft(replica); })
+{
+    uv_loop_init(&loop_);
+    links_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &directory_, settings_.instances });
+    DispatcherInit init;
+    init.clock = &clock_;
+    init.transport = links_.get();
+    init.answers = this;
+    init.directory = &directory_;
+    init.zone = settings_.zone;
+    init.seed = settings_.seed != 0 ? settings_.seed : std::random_device {}();
+    init.repeatRatio = settings_.repeatRatio * kRatioShare;
+    init.repeatBurst = std::max(1.0, settings_.repeatSlack / settings_.instances);
+    dispatcher_ = std::make_unique<Dispatcher>(init);
+    links_->setDispatcher(*dispatcher_);
+    callers_ = std::make_unique<HttpServer>(&loop_, *this, clock_);
+    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, settings_.registryPause, *this);
+}
+
+Gateway::~Gateway() = default;
+
+int Gateway::run()
+{
+    signal(SIGPIPE, SIG_IGN);
+    if (!bindAll())
+        return 1;
+    startTimers();
+    registry_->start();
+    log_.out().info("event=started name={} zone={} caller={} registry={} seeds={}", settings_.name, settings_.zone, settings_.caller.text(),
+        settings_.registry.text(), settings_.seeds.size());
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    log_.out().info("event=stopped name={} requests={}", settings_.name, dispatcher_->stats().requests);
+    log_.writeOut();
+    return 0;
+}
+
+bool Gateway::bindAll()
+{
+    if (!callers_->listen(settings_.caller.host, settings_.caller.port)) {
+        log_.out().error("event=bind_failed address={}", settings_.caller.text());
+        return false;
+    }
+    const std::vector<std::pair<Endpoint, PageServer::Page>> listeners = {
+        { settings_.readiness, [this](const HttpRequest& request) { return readinessPage(request); } },
+        { settings_.peer, [this](const HttpRequest& /*request*/) { return statusPage(); } },
+        { settings_.metrics, [this](const HttpRequest& request) { return request.target == kStatusPath ? statusPage() : metricsPage(); } },
+    };
+    for (const auto& [endpoint, page] : listeners) {
+        pages_.push_back(std::make_unique<PageServer>(&loop_, clock_, page));
+        if (!pages_.back()->server.listen(endpoint.host, endpoint.port)) {
+            log_.out().error("event=bind_failed address={}", endpoint.text());
+            return false;
+        }
+    }
+    return true;
+}
+
+void Gateway::startTimers()
+{
+    uv_timer_init(&loop_, &tickTimer_);
+    tickTimer_.data = this;
+    uv_timer_init(&loop_, &houseTimer_);
+    houseTimer_.data = this;
+    uv_timer_start(
+        &houseTimer_, [](uv_timer_t* timer) { static_cast<Gateway*>(timer->data)->houseKeep(); }, 0, static_cast<uint64_t>(kHousePeriod.count()));
+    uv_prepare_init(&loop_, &prepare_);
+    prepare_.data = this;
+    uv_prepare_start(&prepare_, [](uv_prepare_t* prepare) { static_cast<Gateway*>(prepare->data)->beforePoll(); });
+    uv_signal_init(&loop_, &terminate_);
+    terminate_.data = this;
+    uv_signal_start(
+        &terminate_, [](uv_signal_t* handle, int) { static_cast<Gateway*>(handle->data)->beginShutdown(); }, SIGTERM);
+    uv_signal_init(&loop_, &reload_);
+    reload_.data = this;
+    uv_signal_start(
+        &reload_, [](uv_signal_t* handle, int) { static_cast<Gateway*>(handle->data)->reloadSettings(); }, SIGHUP);
+    lastBeatAt_ = clock_.now();
+}
+
+void Gateway::beforePoll()
+{
+    const TimePoint next = dispatcher_->nextTickAt();
+    if (next == TimePoint::max()) {
+        uv_timer_stop(&tickTimer_);
+        return;
+    }
+    const auto wait = std::chrono::ceil<Millis>(next - clock_.now());
+    uv_update_time(&loop_);
+    uv_timer_start(
+        &tickTimer_, [](uv_timer_t* timer) { static_cast<Gateway*>(timer->data)->dispatcher_->tick(); },
+        static_cast<uint64_t>(std::max<int64_t>(0, wait.count())), 0);
+}
+
+void Gateway::houseKeep()
+{
+    checkSuspension();
+    directory_.tick(clock_.now());
+    callers_->sweep();
+    for (const auto& page : pages_)
+        page->server.sweep();
+    links_->sweep();
+    if (isReady() != wasReady_) {
+        wasReady_ = !wasReady_;
+        log_.out().info("event=readiness ready={} config_version={} replicas={} leaving={}", wasReady_,
+            dispatcher_->table() ? dispatcher_->table()->version() : 0, directory_.size(), isLeaving_);
+    }
+    endIfDrained();
+    log_.writeOut();
+}
+
+void Gateway::checkSuspension()
+{
+    const TimePoint now = clock_.now();
+    const Millis gap = std::chrono::duration_cast<Millis>(now - lastBeatAt_) - kHousePeriod;
+    lastBeatAt_ = now;
+    if (gap < kSuspensionGap)
+        return;
+    log_.out().warn("event=woke_late gap_ms={} action=read_registry_anew", gap.count());
+    links_->closeIdle();
+    registry_->restart();
+}
+
+void Gateway::beginShutdown()
+{
+    if (isLeaving_)
+        return;
+    isLeaving_ = true;
+    const TimePoint now = clock_.now();
+    leaveAt_ = now + kBalancerLag;
+    endAt_ = now + std::max(Millis(0), settings_.grace - kGraceMargin);
+    callers_->setDraining();
+    log_.out().info("event=shutdown_requested open_requests={} connections={}", dispatcher_->openRequests(), callers_->connections());
+}
+
+void Gateway::endIfDrained()
+{
+    if (!isLeaving_)
+        return;
+    const TimePoint now = clock_.now();
+    if (now >= endAt_ || (now >= leaveAt_ && dispatcher_->openRequests() == 0))
+        finishShutdown();
+}
+
+void Gateway::finishShutdown()
+{
+    callers_->stopListening();
+    callers_->closeIdle();
+    registry_->stop();
+    uv_stop(&loop_);
+}
+
+void Gateway::reloadSettings()
+{
+    boost::leaf::try_handle_all(
+        [this]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(fresh, loadGatewaySettings(settingsFile_));
+            settings_.seeds = fresh.seeds;
+            settings_.grace = fresh.grace;
+            log_.out().info("event=settings_reloaded file={} seeds={}", settingsFile_, settings_.seeds.size());
+            return {};
+        },
+        [this](const SettingsError& error) { log_.out().error("event=settings_refused problem=\"{}\"", describe(error)); },
+        [this] { log_.out().error("event=settings_refused problem=\"unknown\""); });
+}
+
+void Gateway::onRequest(ExchangeId exchange, HttpRequest request)
+{
+    dispatcher_->start(exchange, platform::decodeRequest(std::move(request)));
+}
+
+void Gateway::onCallerLeft(ExchangeId exchange)
+{
+    dispatcher_->callerLeft(exchange);
+}
+
+void Gateway::answer(uint64_t request, RouteAnswer answer, const RequestReport& report)
+{
+    metrics_.addRequest(report);
+    log_.out().info("event=request id={} route={} config_version={} code={} outcome={} status={} took_us={} patience_ms={} parts={}/{} calls={} repeats={} late={} trail=\"{}\"",
+        report.requestId, report.route, report.configVersion, static_cast<int>(report.code), resultCodeInfo(report.code).name, report.status,
+        report.taken.count(), report.patience.count(), report.covered, report.parts, report.callsSent, report.repeats, report.isLate, report.trail);
+    callers_->respond(request, platform::encodeAnswer(std::move(answer), report.requestId));
+}
+
+void Gateway::onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync)
+{
+    const TimePoint now = clock_.now();
+    if (sync.hasReturned())
+        directory_.deferRemovals(now + kReturnTime);
+    for (platform::StoreItem& item : items)
+        std::visit([this](auto& entry) { applyItem(entry); }, item);
+    if (sync.hasCompletedReading()) {
+        directory_.retainOnly(named_, now);
+        named_.clear();
+        if (!hasDirectory_)
+            log_.out().info("event=registry_read revision={} replicas={}", sync.revision(), directory_.size());
+        hasDirectory_ = true;
+    }
+}
+
+void Gateway::onRegistryAvailability(bool isAvailable, const std::string& reason)
+{
+    if (isAvailable)
+        log_.out().info("event=dependency_regained name=registry");
+    else
+        log_.out().warn("event=dependency_lost name=registry reason={}", reason);
+}
+
+void Gateway::applyItem(const platform::ReplicaWritten& item)
+{
+    const ReplicaPtr known = directory_.find(item.entry.id);
+    const bool isChange = !known || known->entry.state != item.entry.state || known->entry.startedAt != item.entry.startedAt;
+    named_.insert(item.entry.id);
+    directory_.apply(item.entry, clock_.now());
+    if (isChange && hasDirectory_)
+        log_.out().info("event=replica id={} service={} state={} born={} seq={}", item.entry.id, item.entry.service, name(item.entry.state),
+            item.entry.startedAt, item.entry.sequence);
+}
+
+void Gateway::applyItem(const platform::ReplicaRemoved& item)
+{
+    if (directory_.find(item.id))
+        log_.out().info("event=replica id={} state=removed", item.id);
+    named_.erase(item.id);
+    directory_.remove(item.id, clock_.now());
+}
+
+void Gateway::applyItem(platform::ConfigWritten& item)
+{
+    const uint64_t version = item.document.version;
+    const uint64_t before = dispatcher_->table() ? dispatcher_->table()->version() : 0;
+    const size_t routes = item.document.routes.size();
+    if (!dispatcher_->useTable(std::make_shared<const RouteTable>(std::move(item.document))))
+        return;
+    callers_->setLimits(dispatcher_->table()->limits());
+    log_.out().info("event=config_in_force version={} before={} routes={}", version, before, routes);
+}
+
+void Gateway::applyItem(const platform::BadItem& item)
+{
+    log_.out().warn("event=registry_item_refused key={} problem=\"{}\"", item.key, item.problem);
+    if (item.replicaId.empty())
+        return;
+    named_.erase(item.replicaId);
+    directory_.remove(item.replicaId, clock_.now());
+}
+
+bool Gateway::isReady() const
+{
+    return !isLeaving_ && hasDirectory_ && dispatcher_->table() != nullptr;
+}
+
+HttpResponse Gateway::readinessPage(const HttpRequest& request) const
+{
+    if (request.target != platform::kReadinessPath)
+        return textResponse(404, "no such page\n");
+    return isReady() ? textResponse(200, "ready\n") : textResponse(503, "not ready\n");
+}
+
+HttpResponse Gateway::metricsPage()
+{
+    const DispatcherStats& stats = dispatcher_->stats();
+    metrics_.setCounter("limpettrestle_calls_sent_total", "Calls handed to replicas", static_cast<double>(stats.callsSent));
+    metrics_.setCounter("limpettrestle_repeats_total", "Calls beyond the first of a part", static_cast<double>(stats.repeats));
+    metrics_.setCounter("limpettrestle_repeats_denied_total", "Repeats that the budget denied", static_cast<double>(stats.repeatsDenied));
+    metrics_.setCounter("limpettrestle_parts_missing_total", "Parts missing from merged answers", static_cast<double>(stats.partsMissing));
+    metrics_.setCounter("limpettrestle_calls_lost_total", "Calls that ended without a reply", static_cast<double>(stats.callsLost));
+    metrics_.setCounter("limpettrestle_callers_left_total", "Callers that left before their answer", static_cast<double>(stats.callersLeft));
+    metrics_.setCounter("limpettrestle_registry_calls_total", "Calls to the registry", static_cast<double>(registry_->calls()));
+    metrics_.setCounter("limpettrestle_replica_connections", "Open connections to replicas", static_cast<double>(links_->stats().connections));
+    metrics_.setCounter("limpettrestle_connections_opened_total", "Connections opened to replicas", static_cast<double>(links_->stats().opened));
+    metrics_.setCounter("limpettrestle_log_lines_dropped_total", "Log lines dropped", static_cast<double>(log_.dropped()));
+    metrics_.setCounter("limpettrestle_open_requests", "Requests without an answer", static_cast<double>(dispatcher_->openRequests()));
+    return textResponse(200, metrics_.text());
+}
+
+HttpResponse Gateway::statusPage() const
+{
+    const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
+    return textResponse(200,
+        fmt::format(R"({{"name":"{}","zone":"{}","ready":{},"leaving":{},"config_version":{},"registry_revision":{},"registry_away":{},"replicas":{},"open_requests":{}}})",
+            settings_.name, settings_.zone, isReady(), isLeaving_, table ? table->version() : 0, registry_->sync().revision(), registry_->sync().isAway(),
+            directory_.size(), dispatcher_->openRequests())
+            + "\n");
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,84 @@
+#pragma once
+
+/// One gateway process: an event loop that joins callers, decisions, replicas and the registry.
+
+#include "../net/http_server.h"
+#include "event_log.h"
+#include "gateway_metrics.h"
+#include "registry_client.h"
+#include "replica_links.h"
+
+namespace limpettrestle {
+
+/// Serves one fixed set of pages on a listener of its own.
+class PageHandlerI {
+public:
+    virtual ~PageHandlerI() = default;
+    virtual HttpResponse page(const HttpRequest& request) = 0;
+};
+
+class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI {
+public:
+    Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
+    ~Gateway() override;
+
+    /// Serves until the process is told to end. Returns the exit code.
+    int run();
+
+private:
+    class PageServer;
+
+    void onRequest(ExchangeId exchange, HttpRequest request) override;
+    void onCallerLeft(ExchangeId exchange) override;
+    void answer(uint64_t request, RouteAnswer answer, const RequestReport& report) override;
+    void onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync) override;
+    void onRegistryAvailability(bool isAvailable, const std::string& reason) override;
+
+    bool bindAll();
+    void startTimers();
+    void beforePoll();
+    void houseKeep();
+    void checkSuspension();
+    void beginShutdown();
+    void endIfDrained();
+    void finishShutdown();
+    void reloadSettings();
+
+    void applyItem(const platform::ReplicaWritten& item);
+    void applyItem(const platform::ReplicaRemoved& item);
+    void applyItem(platform::ConfigWritten& item);
+    void applyItem(const platform::BadItem& item);
+
+    bool isReady() const;
+    HttpResponse readinessPage(const HttpRequest& request) const;
+    HttpResponse metricsPage();
+    HttpResponse statusPage() const;
+
+    GatewaySettings settings_;
+    const std::string settingsFile_;
+    const ClockI& clock_;
+    EventLog& log_;
+    uv_loop_t loop_;
+    uv_timer_t tickTimer_;
+    uv_timer_t houseTimer_;
+    uv_prepare_t prepare_;
+    uv_signal_t terminate_;
+    uv_signal_t reload_;
+    GatewayMetrics metrics_;
+    ReplicaDirectory directory_;
+    std::unique_ptr<ReplicaLinks> links_;
+    std::unique_ptr<Dispatcher> dispatcher_;
+    std::unique_ptr<HttpServer> callers_;
+    std::vector<std::unique_ptr<PageServer>> pages_;
+    std::unique_ptr<RegistryClient> registry_;
+    /// Replicas named so far by a full reading.
+    absl::flat_hash_set<std::string> named_;
+    bool hasDirectory_ = false;
+    TimePoint lastBeatAt_ {};
+    bool isLeaving_ = false;
+    TimePoint leaveAt_ {};
+    TimePoint endAt_ {};
+    bool wasReady_ = false;
+};
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,139 @@
+#include "gateway_settings.h"
+
+#include "../json_checks.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace limpettrestle {
+
+namespace {
+
+    namespace leaf = boost::leaf;
+    using nlohmann::json;
+
+    class GatewaySettingsReader {
+    public:
+        GatewaySettingsReader(std::string file, GatewaySettings& settings)
+            : file_(std::move(file))
+            , settings_(settings)
+        {
+        }
+
+        bool read(const json& root)
+        {
+            ObjectCheck check(root, "");
+            uint64_t instances = settings_.instances;
+            check.allow({ "name", "zone", "caller", "readiness", "peer", "metrics", "registry", "seeds", "repeats", "shutdown", "instances", "seed" });
+            check.require("name").text("name", settings_.name);
+            check.require("zone").text("zone", settings_.zone);
+            check.integer("instances", instances, 1, 100000);
+            check.integer("seed", settings_.seed, 0, UINT64_MAX);
+            settings_.instances = static_cast<uint32_t>(instances);
+            return accept(check) && readEndpoint(root, "", "caller", settings_.caller) && readEndpoint(root, "", "readiness", settings_.readiness)
+                && readEndpoint(root, "", "peer", settings_.peer) && readEndpoint(root, "", "metrics", settings_.metrics) && readRegistry(root)
+                && readSeeds(root) && readRepeats(root) && readShutdown(root);
+        }
+
+        SettingsError error;
+
+    private:
+        bool fail(ResultCode code, std::string key, std::string expected)
+        {
+            error = { code, file_, std::move(key), std::move(expected) };
+            return false;
+        }
+
+        bool accept(const ObjectCheck& check)
+        {
+            if (check.ok())
+                return true;
+            return fail(settingsCodeOf(check.code()), check.place(), check.expected());
+        }
+
+        bool readEndpoint(const json& object, const std::string& place, const std::string& key, Endpoint& out)
+        {
+            std::string text;
+            ObjectCheck check(object, place);
+            check.require(key).text(key, text);
+            if (!accept(check))
+                return false;
+            return parseEndpoint(text, out) || fail(ResultCode::SettingsBadValue, place + "/" + key, "an address as ip:port");
+        }
+
+        bool readRegistry(const json& root)
+        {
+            if (!root.contains("registry"))
+                return fail(ResultCode::SettingsMissingKey, "/registry", "an object with an address");
+            ObjectCheck check(root["registry"], "/registry");
+            check.allow({ "address", "pause_ms" });
+            check.millis("pause_ms", settings_.registryPause, 50, 60000);
+            return accept(check) && readEndpoint(root["registry"], "/registry", "address", settings_.registry);
+        }
+
+        bool readSeeds(const json& root)
+        {
+            if (!root.contains("seeds"))
+                return true;
+            const json& seeds = root["seeds"];
+            if (!seeds.is_array())
+                return fail(ResultCode::SettingsBadValue, "/seeds", "a list of addresses");
+            for (const json& entry : seeds) {
+                Endpoint endpoint;
+                if (!entry.is_string() || !parseEndpoint(entry.get<std::string>(), endpoint))
+                    return fail(ResultCode::SettingsBadValue, "/seeds/" + std::to_string(settings_.seeds.size()), "an address as ip:port");
+                settings_.seeds.push_back(endpoint);
+            }
+            return true;
+        }
+
+        bool readRepeats(const json& root)
+        {
+            if (!root.contains("repeats"))
+                return true;
+            ObjectCheck check(root["repeats"], "/repeats");
+            check.allow({ "ratio", "slack" });
+            check.number("ratio", settings_.repeatRatio, 0, 10);
+            check.number("slack", settings_.repeatSlack, 0, 1e6);
+            return accept(check);
+        }
+
+        bool readShutdown(const json& root)
+        {
+            if (!root.contains("shutdown"))
+                return true;
+            ObjectCheck check(root["shutdown"], "/shutdown");
+            check.allow({ "grace_ms" });
+            check.millis("grace_ms", settings_.grace, 100, 600000);
+            return accept(check);
+        }
+
+        std::string file_;
+        GatewaySettings& settings_;
+    };
+
+} // namespace
+
+leaf::result<GatewaySettings> loadGatewaySettings(const std::string& file)
+{
+    std::ifstream in(file);
+    if (!in)
+        return leaf::new_error(SettingsError { ResultCode::SettingsUnreadable, file, "", "a file that can be read" });
+    std::stringstream text;
+    text << in.rdbuf();
+    return parseGatewaySettings(file, text.str());
+}
+
+leaf::result<GatewaySettings> parseGatewaySettings(const std::string& file, const std::string& text)
+{
+    const json root = json::parse(text, nullptr, false, true);
+    if (root.is_discarded())
+        return leaf::new_error(SettingsError { ResultCode::SettingsSyntax, file, "", "JSON with comments" });
+    GatewaySettings settings;
+    GatewaySettingsReader reader(file, settings);
+    if (!reader.read(root))
+        return leaf::new_error(reader.error);
+    return settings;
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/gateway/registry_client.cpp
@@ -0,0 +1,134 @@
+#include "registry_client.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace limpettrestle {
+
+namespace {
+
+    constexpr Millis kConnectTimeout { 500 };
+
+} // namespace
+
+RegistryClient::RegistryClient(uv_loop_t* loop, const ClockI& clock, const Endpoint& endpoint, Millis pause, RegistryHandlerI& handler)
+    : loop_(loop)
+    , clock_(clock)
+    , endpoint_(endpoint)
+    , handler_(handler)
+    , sync_(pause)
+{
+}
+
+RegistryClient::~RegistryClient() = default;
+
+void RegistryClient::start()
+{
+    timer_ = new uv_timer_t;
+    uv_timer_init(loop_, timer_);
+    timer_->data = this;
+    sync_.restart(clock_.now());
+    startCall();
+}
+
+void RegistryClient::restart()
+{
+    if (isStopped_)
+        return;
+    dropConnection();
+    isCalling_ = false;
+    sync_.restart(clock_.now());
+    schedule();
+}
+
+void RegistryClient::stop()
+{
+    isStopped_ = true;
+    dropConnection();
+    if (timer_ != nullptr)
+        uv_close(reinterpret_cast<uv_handle_t*>(timer_), [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
+    timer_ = nullptr;
+}
+
+void RegistryClient::onTimer(uv_timer_t* timer)
+{
+    auto& self = *static_cast<RegistryClient*>(timer->data);
+    if (!self.isCalling_) {
+        self.startCall();
+        return;
+    }
+    self.dropConnection();
+    self.finish(0, "", "timeout");
+}
+
+void RegistryClient::schedule()
+{
+    const auto wait = std::chrono::ceil<Millis>(sync_.nextCallAt() - clock_.now());
+    uv_timer_start(timer_, onTimer, static_cast<uint64_t>(std::max<int64_t>(0, wait.count())), 0);
+}
+
+void RegistryClient::startCall()
+{
+    isCalling_ = true;
+    call_ = sync_.nextCall();
+    uv_timer_start(timer_, onTimer, static_cast<uint64_t>(call_.limit.count()), 0);
+    if (connection_ == nullptr)
+        connection_ = HttpClientConnection::open(loop_, endpoint_.host, endpoint_.port, kConnectTimeout, *this);
+    else
+        send();
+}
+
+void RegistryClient::send()
+{
+    ++calls_;
+    const std::string head = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", platform::encodeStoreTarget(call_), endpoint_.text());
+    if (!connection_->send(head, ""))
+        onEnded(*connection_, ConnectionEnd::Closed);
+}
+
+void RegistryClient::finish(int status, const std::string& body, const std::string& reason)
+{
+    isCalling_ = false;
+    platform::StoreReply reply = platform::decodeStoreReply(call_.kind, status, body);
+    const bool wasAway = sync_.isAway();
+    sync_.finished(reply.result, clock_.now());
+    if (sync_.isAway() != wasAway)
+        handler_.onRegistryAvailability(wasAway, status == 0 ? reason : fmt::format("status_{}", status));
+    if (reply.result.outcome == RegistryOutcome::Done)
+        handler_.onRegistryItems(std::move(reply.items), sync_);
+    if (!isStopped_)
+        schedule();
+}
+
+void RegistryClient::dropConnection()
+{
+    if (connection_ != nullptr)
+        connection_->close();
+    connection_ = nullptr;
+}
+
+void RegistryClient::onConnected(HttpClientConnection& /*connection*/)
+{
+    if (isCalling_)
+        send();
+}
+
+AfterResponse RegistryClient::onResponse(HttpClientConnection& /*connection*/, HttpResponse response, bool isReusable)
+{
+    if (!isReusable)
+        dropConnection();
+    finish(response.status, response.body, "");
+    return AfterResponse::Keep;
+}
+
+void RegistryClient::onEnded(HttpClientConnection& connection, ConnectionEnd end)
+{
+    if (connection_ != &connection)
+        return;
+    connection.close();
+    connection_ = nullptr;
+    if (isCalling_)
+        finish(0, "", std::string(name(end)));
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/net/stream_io.cpp
@@ -0,0 +1,70 @@
+#include "stream_io.h"
+
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace limpettrestle {
+
+namespace {
+
+    constexpr size_t kReadBufferBytes = 65536;
+
+    struct QueuedWrite {
+        uv_write_t request;
+        std::string bytes;
+        int* pending;
+    };
+
+    void onWritten(uv_write_t* request, int status)
+    {
+        auto* queued = static_cast<QueuedWrite*>(request->data);
+        // A cancelled write ends with its socket, whose owner no longer counts.
+        if (status != UV_ECANCELED)
+            --*queued->pending;
+        delete queued;
+    }
+
+} // namespace
+
+uv_buf_t sharedReadBuffer()
+{
+    static std::array<char, kReadBufferBytes> buffer;
+    return uv_buf_init(buffer.data(), buffer.size());
+}
+
+WriteResult writeOrQueue(uv_stream_t* stream, const std::string& head, const std::string& body, int& pending)
+{
+    std::array<uv_buf_t, 2> parts = { uv_buf_init(const_cast<char*>(head.data()), static_cast<unsigned>(head.size())),
+        uv_buf_init(const_cast<char*>(body.data()), static_cast<unsigned>(body.size())) };
+    const size_t total = head.size() + body.size();
+    const int written = pending > 0 ? UV_EAGAIN : uv_try_write(stream, parts.data(), body.empty() ? 1 : 2);
+    if (written < 0 && written != UV_EAGAIN)
+        return WriteResult::Dead;
+    const size_t done = written > 0 ? static_cast<size_t>(written) : 0;
+    if (done == total)
+        return WriteResult::Done;
+    auto* queued = new QueuedWrite { {}, head + body, &pending };
+    queued->bytes.erase(0, done);
+    queued->request.data = queued;
+    uv_buf_t rest = uv_buf_init(queued->bytes.data(), static_cast<unsigned>(queued->bytes.size()));
+    ++pending;
+    if (uv_write(&queued->request, stream, &rest, 1, onWritten) != 0) {
+        --pending;
+        delete queued;
+        return done == 0 ? WriteResult::Dead : WriteResult::Pending;
+    }
+    return WriteResult::Pending;
+}
+
+void setPeerTimeout(uv_tcp_t* socket, int milliseconds)
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(socket), &descriptor) != 0)
+        return;
+    // Best effort: without it a dead peer is found by the limits of its requests.
+    (void)setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/process/registry_sync.cpp
@@ -0,0 +1,114 @@
+#include "registry_sync.h"
+
+#include <algorithm>
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Longest wait for a page; the registry answers in milliseconds when well.
+    constexpr Millis kPageLimit { 1000 };
+    /// Time for which a reading of changes is held open. Every replica reports every second or so, so
+    /// that a longer silence means that the reading misses changes.
+    constexpr Millis kHold { 700 };
+    /// Wait beyond the hold for the answer itself.
+    constexpr Millis kHoldSlack { 500 };
+    /// Pause after the first failure, doubled up to the longest.
+    constexpr Millis kRetryMin { 100 };
+    constexpr Millis kRetryMax { 1000 };
+    constexpr uint32_t kMaxBackoffSteps = 4;
+
+} // namespace
+
+RegistryCall RegistrySync::nextCall() const
+{
+    RegistryCall call;
+    if (mode_ == Mode::Reading) {
+        call.kind = RegistryCall::Kind::Page;
+        call.afterKey = afterKey_;
+        call.limit = kPageLimit;
+        return call;
+    }
+    call.kind = RegistryCall::Kind::Changes;
+    call.afterRevision = revision_;
+    call.hold = kHold;
+    call.limit = kHold + kHoldSlack;
+    return call;
+}
+
+void RegistrySync::finished(const RegistryResult& result, TimePoint now)
+{
+    hasCompletedReading_ = false;
+    hasReturned_ = false;
+    if (result.outcome == RegistryOutcome::HistoryLost) {
+        startReading(now);
+        return;
+    }
+    if (result.outcome != RegistryOutcome::Done) {
+        failed(result, now);
+        return;
+    }
+    hasReturned_ = isAway_;
+    isAway_ = false;
+    failures_ = 0;
+    if (mode_ == Mode::Reading)
+        finishedPage(result, now);
+    else
+        finishedChanges(result, now);
+}
+
+void RegistrySync::restart(TimePoint now)
+{
+    startReading(now);
+}
+
+void RegistrySync::startReading(TimePoint at)
+{
+    mode_ = Mode::Reading;
+    afterKey_.clear();
+    isFirstPage_ = true;
+    nextCallAt_ = at;
+}
+
+void RegistrySync::finishedPage(const RegistryResult& result, TimePoint now)
+{
+    // Pages are no snapshot: changes are followed from the revision of the first.
+    if (isFirstPage_)
+        revision_ = result.revision;
+    isFirstPage_ = false;
+    nextCallAt_ = now;
+    if (result.hasMore && !result.lastKey.empty()) {
+        afterKey_ = result.lastKey;
+        return;
+    }
+    hasCompletedReading_ = true;
+    mode_ = Mode::Following;
+    nextCallAt_ = now + pause_;
+}
+
+void RegistrySync::finishedChanges(const RegistryResult& result, TimePoint now)
+{
+    if (result.entries == 0) {
+        // Nothing for the whole hold: the reading may have gone deaf, so everything is read anew.
+        startReading(now);
+        return;
+    }
+    revision_ = std::max(revision_, result.revision);
+    nextCallAt_ = now + pause_;
+}
+
+void RegistrySync::failed(const RegistryResult& result, TimePoint now)
+{
+    isAway_ = true;
+    const uint32_t step = std::min(failures_, kMaxBackoffSteps);
+    ++failures_;
+    Millis wait = std::min(kRetryMax, kRetryMin * (1 << step));
+    // Only a refusal shows that the registry is there; a following that timed out may be deaf.
+    if (result.outcome == RegistryOutcome::Failed && mode_ == Mode::Following)
+        wait = std::min(wait, kRetryMin);
+    nextCallAt_ = now + wait;
+    if (mode_ == Mode::Reading)
+        startReading(nextCallAt_);
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/request/dispatcher_calls.cpp
@@ -0,0 +1,283 @@
+/// Calls of the dispatcher: first ones, repeats, and what their ends mean.
+
+#include "dispatcher_p.h"
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Calls started for one part at most, unsent ones included.
+    constexpr uint32_t kMaxTries = 4;
+    /// Weight of a sample in a route's usual time of a call.
+    constexpr double kMeanWeight = 0.05;
+    /// Least delay of a repeat: below it, jitter is mistaken for slowness.
+    constexpr Millis kMinRepeatDelay { 4 };
+    /// A repeat is sent at this share of the objective at the latest.
+    constexpr double kMaxRepeatShare = 0.45;
+    /// Pause before a repeat that was denied is weighed again.
+    constexpr Millis kDeniedPause { 8 };
+    /// Least wait for a connection before another replica is tried, and its share of the objective.
+    constexpr Millis kMinConnectPatience { 20 };
+    constexpr int kConnectPatienceShare = 5;
+    /// Least time left for which a call is worth sending.
+    constexpr Millis kMinTimeLeft { 5 };
+
+    constexpr int kServiceUnavailable = 503;
+
+    bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+    /// Statuses that promise a caller that nothing was run.
+    bool promisesNotRun(int status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == kServiceUnavailable;
+    }
+
+    Millis connectPatience(const RouteSpec& route)
+    {
+        return std::max(kMinConnectPatience, route.latencyTarget / kConnectPatienceShare);
+    }
+
+} // namespace
+
+Micros Dispatcher::repeatDelay(const OpenRequest& open) const
+{
+    const Micros usual = open.state->quantile.value(open.state->mean * 2);
+    const auto most = std::chrono::duration_cast<Micros>(open.route->latencyTarget * kMaxRepeatShare);
+    return std::max<Micros>(kMinRepeatDelay, std::min(usual, most));
+}
+
+void Dispatcher::launchFirst(OpenRequest& open, size_t index)
+{
+    Part& part = open.parts[index];
+    budgetOf(*part.service).firstCall();
+    const ReplicaPtr replica = chooseFor(open, part, ChoiceScope::First);
+    if (!replica) {
+        markMissing(part, ResultCode::NoReplicaReachable);
+        return;
+    }
+    launch(open, index, replica, false);
+}
+
+ReplicaPtr Dispatcher::chooseFor(const OpenRequest& open, const Part& part, ChoiceScope scope)
+{
+    const ChoiceQuery query { *part.service, init_.zone, scope, open.state->mean, part.used };
+    return chooseReplica(*init_.directory, query, clock_.now());
+}
+
+void Dispatcher::launch(OpenRequest& open, size_t index, const ReplicaPtr& replica, bool isRepeat)
+{
+    Part& part = open.parts[index];
+    const TimePoint now = clock_.now();
+    auto call = std::make_unique<Call>();
+    call->id = ++lastCall_;
+    call->request = open.id;
+    call->part = index;
+    call->replica = replica;
+    call->startedAt = now;
+    call->expected = open.state->mean;
+    const uint64_t id = call->id;
+    calls_[id] = std::move(call);
+    part.calls.push_back(id);
+    part.used.push_back(replica);
+    ++part.tries;
+    if (isRepeat) {
+        ++open.repeats;
+        ++stats_.repeats;
+    }
+    open.nextCheckAt = std::min(open.nextCheckAt, now + connectPatience(*open.route));
+    const Millis left = std::chrono::duration_cast<Millis>(open.deadlineAt - now);
+    init_.transport->startCall(id, replica, open.request, std::max(Millis(1), left), !open.mayRepeat());
+}
+
+void Dispatcher::checkPart(OpenRequest& open, size_t index)
+{
+    Part& part = open.parts[index];
+    if (part.state != PartState::Open)
+        return;
+    const TimePoint now = clock_.now();
+    bool hasUnsent = false;
+    for (const uint64_t id : std::vector<uint64_t>(part.calls)) {
+        const Call& call = *calls_.at(id);
+        if (call.isSent)
+            continue;
+        const TimePoint patienceEnd = call.startedAt + connectPatience(*open.route);
+        if (now < patienceEnd || !moveUnsent(open, index, id))
+            hasUnsent = true;
+        open.nextCheckAt = std::min(open.nextCheckAt, std::max(patienceEnd, now + kDeniedPause));
+    }
+    if (hasUnsent || part.state != PartState::Open || !open.mayRepeat() || part.runs >= open.route->maxAttempts)
+        return;
+    if (now >= part.repeatAt && !tryRepeat(open, index, "hedge"))
+        part.repeatAt = now + kDeniedPause;
+    if (part.runs < open.route->maxAttempts)
+        open.nextCheckAt = std::min(open.nextCheckAt, std::max(part.repeatAt, now + Millis(1)));
+}
+
+bool Dispatcher::moveUnsent(OpenRequest& open, size_t index, uint64_t id)
+{
+    Part& part = open.parts[index];
+    const ReplicaPtr replica = part.tries < kMaxTries ? chooseFor(open, part, ChoiceScope::First) : nullptr;
+    const Call& call = *calls_.at(id);
+    call.replica->health.connectFailed(clock_.now());
+    if (!replica)
+        return false;
+    note(open, "no_connection", *part.service, call.replica.get());
+    std::erase(part.calls, id);
+    endCall(id, false);
+    launch(open, index, replica, false);
+    return true;
+}
+
+bool Dispatcher::tryRepeat(OpenRequest& open, size_t index, std::string_view why)
+{
+    Part& part = open.parts[index];
+    if (part.tries >= kMaxTries || clock_.now() + kMinTimeLeft >= open.deadlineAt)
+        return false;
+    const ReplicaPtr replica = chooseFor(open, part, ChoiceScope::Repeat);
+    if (!replica)
+        return false;
+    if (!budgetOf(*part.service).tryTake()) {
+        ++stats_.repeatsDenied;
+        return false;
+    }
+    note(open, why, *part.service, replica.get());
+    launch(open, index, replica, true);
+    return true;
+}
+
+void Dispatcher::handleReply(Call& call, ReplicaReply reply)
+{
+    const TimePoint now = clock_.now();
+    Replica& replica = *call.replica;
+    replica.health.loadTold(reply.running, reply.waiting, now);
+    const bool isUnexecuted = reply.notExecuted || reply.misdirected;
+    if (reply.misdirected)
+        replica.isRefuted = true;
+    if (isUnexecuted)
+        replica.health.callEnded(call.id, now, true);
+    else
+        replica.health.callAnswered(call.id, now);
+
+    const auto owner = requests_.find(call.request);
+    if (owner == requests_.end())
+        return;
+    OpenRequest& open = *owner->second;
+    Part& part = open.parts[call.part];
+    std::erase(part.calls, call.id);
+    if (isUnexecuted) {
+        ++stats_.repliesNotExecuted;
+        --part.runs;
+        retryOrFail(open, call.part, reply.misdirected ? ResultCode::NoReplicaReachable : ResultCode::ServerShed, "not_executed");
+        return;
+    }
+    const Micros taken = std::chrono::duration_cast<Micros>(now - call.sentAt);
+    open.state->quantile.add(taken);
+    open.state->mean += std::chrono::duration_cast<Micros>((taken - open.state->mean) * kMeanWeight);
+    if (part.state != PartState::Open)
+        return;
+    if (isSuccess(reply.status) && reply.signature.empty()) {
+        retryOrFail(open, call.part, ResultCode::ForeignReply, "unsigned");
+        return;
+    }
+    if (open.isMerged())
+        takeMergedReply(open, call.part, std::move(reply));
+    else
+        takeForwardedReply(open, call.part, std::move(reply));
+}
+
+void Dispatcher::takeMergedReply(OpenRequest& open, size_t index, ReplicaReply reply)
+{
+    if (!isSuccess(reply.status)) {
+        retryOrFail(open, index, ResultCode::ServerFailed, "server_failed");
+        return;
+    }
+    Part& part = open.parts[index];
+    part.reply = std::move(reply);
+    part.state = PartState::Done;
+}
+
+void Dispatcher::takeForwardedReply(OpenRequest& open, size_t index, ReplicaReply reply)
+{
+    Part& part = open.parts[index];
+    if (reply.status < 500 && !promisesNotRun(reply.status)) {
+        part.reply = std::move(reply);
+        part.state = PartState::Done;
+        return;
+    }
+    // A failure of the replica is passed on unless another one helps; but never a status that would
+    // promise the caller that nothing was run.
+    if (!promisesNotRun(reply.status)) {
+        part.reply = std::move(reply);
+        part.hasFailureReply = true;
+    }
+    retryOrFail(open, index, ResultCode::ServerFailed, "server_failed");
+}
+
+void Dispatcher::handleFailure(Call& call, CallFailure failure)
+{
+    const TimePoint now = clock_.now();
+    ++stats_.callsLost;
+    if (failure == CallFailure::NotSent)
+        call.replica->health.connectFailed(now);
+    else
+        call.replica->health.callEnded(call.id, now, true);
+    const auto owner = requests_.find(call.request);
+    if (owner == requests_.end())
+        return;
+    OpenRequest& open = *owner->second;
+    std::erase(open.parts[call.part].calls, call.id);
+    switch (failure) {
+    case CallFailure::NotSent:
+        retryOrFail(open, call.part, ResultCode::ConnectFailed, "connect_failed");
+        break;
+    case CallFailure::Lost:
+        retryOrFail(open, call.part, ResultCode::ConnectionLost, "lost");
+        break;
+    case CallFailure::Malformed:
+        retryOrFail(open, call.part, ResultCode::ForeignReply, "malformed");
+        break;
+    }
+}
+
+void Dispatcher::retryOrFail(OpenRequest& open, size_t index, ResultCode reason, std::string_view why)
+{
+    Part& part = open.parts[index];
+    if (part.state != PartState::Open)
+        return;
+    note(open, why, *part.service, part.used.empty() ? nullptr : part.used.back().get());
+    // Another call of the part is still open and may succeed.
+    if (!part.calls.empty())
+        return;
+    const bool mayRunAgain = (open.mayRepeat() || part.runs == 0) && part.runs < open.route->maxAttempts;
+    const bool hasTime = clock_.now() + kMinTimeLeft < open.deadlineAt;
+    if (!mayRunAgain || part.tries >= kMaxTries || !hasTime) {
+        markMissing(part, reason);
+        return;
+    }
+    ReplicaPtr replica = chooseFor(open, part, ChoiceScope::First);
+    if (!replica) {
+        // All have been tried: one that failed before may serve now, on another connection.
+        part.used.clear();
+        replica = chooseFor(open, part, ChoiceScope::First);
+    }
+    if (!replica) {
+        markMissing(part, reason);
+        return;
+    }
+    const bool isRepeat = part.arrivals > 0;
+    if (isRepeat && !budgetOf(*part.service).tryTake()) {
+        ++stats_.repeatsDenied;
+        markMissing(part, reason);
+        return;
+    }
+    note(open, "retry", *part.service, replica.get());
+    launch(open, index, replica, isRepeat);
+}
+
+void Dispatcher::markMissing(Part& part, ResultCode reason)
+{
+    part.state = PartState::Missing;
+    part.reason = reason;
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/request/dispatcher_p.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// State of the dispatcher's requests and calls.
+
+#include "dispatcher.h"
+
+#include <algorithm>
+
+namespace limpettrestle {
+
+/// What is known of the calls of one route, over all versions of the configuration.
+struct Dispatcher::RouteState {
+    RouteState(Micros firstMean, int window)
+        : mean(firstMean)
+        , quantile(kRepeatQuantile, window)
+    {
+    }
+
+    /// Calls slower than this share of all are repeated.
+    static constexpr double kRepeatQuantile = 0.9;
+
+    Micros mean;
+    LatencyQuantile quantile;
+    ShareCycle shares;
+};
+
+/// One service of a request: a shard, or the service that a forwarded request goes to.
+struct Dispatcher::Part {
+    /// Name in the route, which lives as long as the request's table.
+    const std::string* service = nullptr;
+    PartState state = PartState::Open;
+    ResultCode reason = ResultCode::Ok;
+    /// Calls that were sent and not stated to be unexecuted.
+    uint32_t runs = 0;
+    /// Calls of which a byte was sent.
+    uint32_t arrivals = 0;
+    uint32_t tries = 0;
+    TimePoint repeatAt {};
+    std::vector<uint64_t> calls;
+    std::vector<ReplicaPtr> used;
+    /// Reply that counts, or a failure to pass on when nothing better comes.
+    ReplicaReply reply;
+    bool hasFailureReply = false;
+};
+
+struct Dispatcher::OpenRequest {
+    uint64_t id = 0;
+    std::shared_ptr<const RouteTable> table;
+    const RouteSpec* route = nullptr;
+    RouteState* state = nullptr;
+    RequestPtr request;
+    TimePoint receivedAt {};
+    /// A merged answer with enough coverage leaves at this time.
+    TimePoint targetAt {};
+    TimePoint deadlineAt {};
+    TimePoint nextCheckAt {};
+    std::vector<Part> parts;
+    uint32_t callsSent = 0;
+    uint32_t repeats = 0;
+    std::string trail;
+
+    bool isMerged() const { return !route->shards.empty(); }
+    bool mayRepeat() const { return route->repeat == RepeatPolicy::Idempotent; }
+    uint32_t count(PartState state) const
+    {
+        return static_cast<uint32_t>(std::count_if(parts.begin(), parts.end(), [state](const Part& part) { return part.state == state; }));
+    }
+};
+
+struct Dispatcher::Call {
+    uint64_t id = 0;
+    uint64_t request = 0;
+    size_t part = 0;
+    ReplicaPtr replica;
+    TimePoint startedAt {};
+    TimePoint sentAt {};
+    bool isSent = false;
+    /// Outlives its request, so that its end is still counted.
+    Micros expected { 0 };
+};
+
+} // namespace limpettrestle
--- a/src/result_codes.cpp
+++ b/src/result_codes.cpp
@@ -66,6 +66,7 @@
         ResultCodeInfo { RC::ConnectFailed, "connect_failed", "No connection could be made; nothing was sent.", 502 },
         ResultCodeInfo { RC::ConnectionLost, "connection_lost", "The connection ended after the request may have been sent.", 502 },
         ResultCodeInfo { RC::AttemptTimeout, "attempt_timeout", "No reply arrived within the time budget.", 504 },
+        ResultCodeInfo { RC::ServerFailed, "server_failed", "The replica answered with a failure of its own.", 502 },
         ResultCodeInfo { RC::PlatformUnreachable, "platform_unreachable", "The platform's service does not answer.", 503 },
         ResultCodeInfo { RC::PlatformRateLimited, "platform_rate_limited", "The platform's service refused a read because of its rate limit.", 503 },
         ResultCodeInfo { RC::Usage, "usage", "The command line is not valid.", 500 },
--- /dev/null
+++ b/src/version/route_table.cpp
@@ -0,0 +1,89 @@
+#include "route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <fmt/format.h>
+
+namespace limpettrestle {
+
+namespace {
+
+    std::string contradictionOf(const RouteSpec& route)
+    {
+        if (route.host.empty())
+            return "no host";
+        if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
+            return "the prefix must begin and end with a slash";
+        if (route.shares.empty() == route.shards.empty())
+            return "needs either services or shards";
+        if (route.timeout <= Millis::zero())
+            return "the timeout must be positive";
+        if (route.maxAttempts == 0)
+            return "needs one attempt at least";
+        if (!route.shards.empty() && route.repeat != RepeatPolicy::Idempotent)
+            return "a search over shards must be idempotent";
+        if (route.minCoverage < 0 || route.minCoverage > 1)
+            return "the least coverage must lie between 0 and 1";
+        uint64_t weights = 0;
+        for (const ServiceShare& share : route.shares)
+            weights += share.weight;
+        if (!route.shares.empty() && weights == 0)
+            return "all weights are zero";
+        return "";
+    }
+
+} // namespace
+
+RouteTable::RouteTable(RoutingDocument document)
+    : document_(std::move(document))
+{
+    for (const RouteSpec& route : document_.routes)
+        byHost_[route.host].push_back(&route);
+    for (auto& [host, routes] : byHost_) {
+        std::stable_sort(routes.begin(), routes.end(),
+            [](const RouteSpec* a, const RouteSpec* b) { return a->prefix.size() > b->prefix.size(); });
+    }
+    for (const ServiceSpec& service : document_.services)
+        maxConnections_[service.name] = service.maxConnections;
+}
+
+const RouteSpec* RouteTable::match(std::string_view host, std::string_view target) const
+{
+    const auto found = byHost_.find(canonicalHost(host));
+    if (found == byHost_.end())
+        return nullptr;
+    const std::string_view path = target.substr(0, target.find('?'));
+    for (const RouteSpec* route : found->second) {
+        if (path.starts_with(route->prefix))
+            return route;
+    }
+    return nullptr;
+}
+
+uint32_t RouteTable::maxConnections(const std::string& service) const
+{
+    const auto found = maxConnections_.find(service);
+    return found == maxConnections_.end() ? 0 : found->second;
+}
+
+std::string canonicalHost(std::string_view host)
+{
+    const size_t colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
+        host = host.substr(0, colon);
+    std::string lower(host);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+std::string findContradiction(const RoutingDocument& document)
+{
+    for (const RouteSpec& route : document.routes) {
+        std::string what = contradictionOf(route);
+        if (!what.empty())
+            return fmt::format("route {}: {}", route.name, what);
+    }
+    return "";
+}
+
+} // namespace limpettrestle
