A reset after data is told from an orderly end

The replica had crashed in the middle: data, then a reset. libuv reports a partial read with a hang-up behind it as an orderly end, so the cut body was taken as whole. Ruled out: merging, foreign replies (the parts had the right id), hedges (the reply was a first call's).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -99,7 +99,7 @@
     if (count == 0 || self.isClosing_)
         return;
     if (count < 0) {
-        self.readEnded(count != UV_EOF);
+        self.readEnded(count != UV_EOF || !endedInOrder(stream));
         return;
     }
     self.parse(buffer->base, static_cast<size_t>(count));
--- a/src/net/stream_io.cpp
+++ b/src/net/stream_io.cpp
@@ -58,6 +58,15 @@
     return WriteResult::Pending;
 }
 
+bool endedInOrder(uv_stream_t* stream)
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(stream), &descriptor) != 0)
+        return false;
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void setPeerTimeout(uv_tcp_t* socket, int milliseconds)
 {
     uv_os_fd_t descriptor = -1;
--- a/src/net/stream_io.h
+++ b/src/net/stream_io.h
@@ -22,6 +22,10 @@
 /// live as long as the socket's handle.
 WriteResult writeOrQueue(uv_stream_t* stream, const std::string& head, const std::string& body, int& pending);
 
+/// True when the peer ended the stream in order. The event loop reports data followed by a reset as
+/// an orderly end; the socket itself tells them apart.
+bool endedInOrder(uv_stream_t* stream);
+
 /// Ends a connection whose peer takes no bytes for so long.
 void setPeerTimeout(uv_tcp_t* socket, int milliseconds);
 
