Cut-off is weighed by requests, and ends its callers' connections

Change: routes count by their recent requests, half of them cut is cut off, and answers of a cut-off instance end their connections so that callers are balanced elsewhere. Test first: 'routes count by their requests' (reachability_test).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -249,10 +249,15 @@
 void Gateway::answer(uint64_t request, RouteAnswer answer, const RequestReport& report)
 {
     metrics_.addRequest(report);
+    if (report.isMerged)
+        reachability_.countRequest(report.route);
     log_.out().info("event=request id={} route={} config_version={} code={} outcome={} status={} took_us={} patience_ms={} parts={}/{} calls={} repeats={} late={} trail=\"{}\"",
         report.requestId, report.route, report.configVersion, static_cast<int>(report.code), resultCodeInfo(report.code).name, report.status,
         report.taken.count(), report.patience.count(), report.covered, report.parts, report.callsSent, report.repeats, report.isLate, report.trail);
-    callers_->respond(request, platform::encodeAnswer(std::move(answer), report.requestId));
+    HttpResponse response = platform::encodeAnswer(std::move(answer), report.requestId);
+    // A caller that stays on its connection would stay with an instance that cannot serve it.
+    response.isLast = reachability_.isCutOff();
+    callers_->respond(request, std::move(response));
 }
 
 void Gateway::onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync)
--- a/src/process/reachability.cpp
+++ b/src/process/reachability.cpp
@@ -1,13 +1,15 @@
 #include "reachability.h"
 
-#include <algorithm>
-
 namespace limpettrestle {
 
 namespace {
 
     /// Time a cut must last: shorter ones are over before the balancer has looked elsewhere.
     constexpr Millis kCutTime { 500 };
+    /// Requests after which the counts are halved: some ten seconds of an instance's traffic.
+    constexpr double kHalveAfter = 200;
+    /// Weight of a route without requests, so that an instance that has just started knows too.
+    constexpr double kLeastWeight = 0.01;
 
     struct ShardCount {
         uint32_t registered = 0;
@@ -37,19 +39,39 @@
 
 } // namespace
 
+void Reachability::countRequest(const std::string& route)
+{
+    requests_[route] += 1;
+    total_ += 1;
+    if (total_ < kHalveAfter)
+        return;
+    total_ /= 2;
+    for (auto& [name, count] : requests_)
+        count /= 2;
+}
+
+double Reachability::weightOf(const std::string& route) const
+{
+    const auto found = requests_.find(route);
+    return kLeastWeight + (found == requests_.end() ? 0 : found->second);
+}
+
 void Reachability::update(const RouteTable& table, const ReplicaDirectory& directory, TimePoint now)
 {
-    uint32_t searches = 0;
+    double searches = 0;
+    double cut = 0;
     routesCut_ = 0;
     for (const RouteSpec& route : table.routes()) {
         if (route.shards.empty())
             continue;
-        ++searches;
+        searches += weightOf(route.name);
         const ShardCount count = countShards(route, directory);
-        if (suffices(count.registered, route) && !suffices(count.reached, route))
-            ++routesCut_;
+        if (!suffices(count.registered, route) || suffices(count.reached, route))
+            continue;
+        cut += weightOf(route.name);
+        ++routesCut_;
     }
-    const bool isCut = routesCut_ * 2 > searches;
+    const bool isCut = cut > 0 && cut * 2 >= searches;
     if (isCut && !isCut_)
         cutSince_ = now;
     isCut_ = isCut;
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -78,3 +78,32 @@
     bed.directory.find("s0-a")->health.connected(bed.clock.now());
     CHECK_FALSE(bed.directory.find("s0-a")->health.isAvoided(bed.clock.now()));
 }
+
+TEST_CASE("routes count by their requests")
+{
+    RoutingBed bed;
+    bed.useStandardRoutes(4, RepeatPolicy::Idempotent, 0.75);
+    RoutingDocument document;
+    document.version = 2;
+    document.routes = bed.dispatcher->table()->routes();
+    RouteSpec strict = document.routes[0];
+    strict.name = "strict";
+    strict.prefix = "/strict/";
+    strict.minCoverage = 1.0;
+    document.routes.push_back(strict);
+    const RouteTable table(document);
+    loseConnections(bed, "s0-a");
+    loseConnections(bed, "s0-b");
+    const auto isCutOff = [&](int strictRequests, int otherRequests) {
+        Reachability reachability;
+        for (int i = 0; i < strictRequests; ++i)
+            reachability.countRequest("strict");
+        for (int i = 0; i < otherRequests; ++i)
+            reachability.countRequest("all");
+        reachability.update(table, bed.directory, bed.clock.now());
+        reachability.update(table, bed.directory, bed.clock.now() + Millis(600));
+        return reachability.isCutOff();
+    };
+    CHECK(isCutOff(30, 10));
+    CHECK_FALSE(isCutOff(10, 30));
+}
