--- a/src/connection/repeat_budget.h
+++ b/src/connection/repeat_budget.h
@@ -8,15 +8,14 @@
 
 class RepeatBudget {
 public:
-    /// `ratio`: repeats earned by a first call. `burst`: repeats that may be saved up.
-    RepeatBudget(double ratio, double burst)
-        : ratio_(ratio)
-        , burst_(burst)
-        , tokens_(burst)
+    /// `burst`: repeats in hand at the start.
+    explicit RepeatBudget(double burst)
+        : tokens_(burst)
     {
     }
 
-    void firstCall() { tokens_ = std::min(burst_, tokens_ + ratio_); }
+    /// `ratio`: repeats earned by a first call. `burst`: repeats that may be saved up.
+    void firstCall(double ratio, double burst) { tokens_ = std::min(burst, tokens_ + ratio); }
 
     bool tryTake()
     {
@@ -29,8 +28,6 @@
     double tokens() const { return tokens_; }
 
 private:
-    double ratio_;
-    double burst_;
     double tokens_;
 };
 
--- a/src/connection/replica_choice.cpp
+++ b/src/connection/replica_choice.cpp
@@ -33,13 +33,13 @@
 
 } // namespace
 
-ReplicaPtr chooseReplica(const ReplicaDirectory& directory, const ChoiceQuery& query, TimePoint now)
+ReplicaPtr chooseReplica(const ChoiceQuery& query, TimePoint now)
 {
     ReplicaPtr best;
     // Used when nothing better is left: one that is silent at present, or failed once just now.
     ReplicaPtr lastResort;
     double bestTime = 0;
-    for (const ReplicaPtr& replica : directory.of(query.service)) {
+    for (const ReplicaPtr& replica : query.candidates) {
         if (!replica->takesWork() || isExcluded(replica, query.excluded))
             continue;
         const bool isAvoided = replica->health.isAvoided(now);
--- a/src/connection/replica_choice.h
+++ b/src/connection/replica_choice.h
@@ -17,7 +17,7 @@
 };
 
 struct ChoiceQuery {
-    const std::string& service;
+    std::span<const ReplicaPtr> candidates;
     /// Zone of this instance; its replicas win ties.
     std::string_view zone;
     ChoiceScope scope = ChoiceScope::First;
@@ -30,6 +30,6 @@
 };
 
 /// Null when no replica qualifies.
-ReplicaPtr chooseReplica(const ReplicaDirectory& directory, const ChoiceQuery& query, TimePoint now);
+ReplicaPtr chooseReplica(const ChoiceQuery& query, TimePoint now);
 
 } // namespace limpettrestle
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,10 @@
     constexpr Millis kReturnTime { 2000 };
     /// Share of the allowed repeat ratio that is used; the rest covers windows that fall unevenly.
     constexpr double kRatioShare = 0.85;
-    constexpr std::string_view kMetricsPath = "/metrics";
+    /// Share of the time for reactions that passes between two readings of the registry.
+    constexpr double kPauseShare = 0.4;
+    /// Instances assumed until the fleet is known: many, so that budgets and connections start small.
+    constexpr uint32_t kAssumedInstances = 60;
     constexpr std::string_view kStatusPath = "/status";
 
     HttpResponse textResponse(int status, std::string body)
@@ -63,23 +66,50 @@
     , settingsFile_(std::move(settingsFile))
     , clock_(clock)
     , log_(log)
-    , directory_([this](const ReplicaPtr& replica) { links_->replicaLeft(replica); })
+    , directory_([this](const ReplicaPtr& replica) { replicaLeft(replica); })
+    , changes_(static_cast<uint64_t>(std::random_device {}()) << 16 | 1)
+    , fleet_(kAssumedInstances)
 {
     uv_loop_init(&loop_);
-    links_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &directory_, settings_.instances });
+    makeDispatcher();
+    callers_ = std::make_unique<HttpServer>(&loop_, *this, clock_);
+    const auto pause = std::chrono::duration_cast<Millis>(std::min(settings_.drainReaction, settings_.configReaction) * kPauseShare);
+    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, pause, *this);
+    makePeers();
+}
+
+void Gateway::makeDispatcher()
+{
+    links_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &directory_ });
     DispatcherInit init;
     init.clock = &clock_;
     init.transport = links_.get();
     init.answers = this;
     init.directory = &directory_;
     init.zone = settings_.zone;
+    init.instance = settings_.name;
     init.seed = settings_.seed != 0 ? settings_.seed : std::random_device {}();
     init.repeatRatio = settings_.repeatRatio * kRatioShare;
-    init.repeatBurst = std::max(1.0, settings_.repeatSlack / settings_.instances);
+    init.repeatSlack = settings_.repeatSlack;
     dispatcher_ = std::make_unique<Dispatcher>(init);
     links_->setDispatcher(*dispatcher_);
-    callers_ = std::make_unique<HttpServer>(&loop_, *this, clock_);
-    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, settings_.registryPause, *this);
+}
+
+void Gateway::makePeers()
+{
+    std::vector<Endpoint> peers;
+    for (const Endpoint& seed : settings_.seeds) {
+        if (seed.text() == settings_.peer.text())
+            isReader_ = true;
+        else
+            peers.push_back(seed);
+    }
+    const size_t offset = peers.empty() ? 0 : std::hash<std::string> {}(settings_.name) % peers.size();
+    sources_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now());
+    peerServer_ = std::make_unique<PeerServer>(&loop_, clock_, *this, fleet_);
+    follower_ = std::make_unique<PeerFollower>(&loop_, clock_, settings_.name, std::move(peers), isReader_, *sources_);
+    follower_->setHandlers([this](const ChangesReply& reply) { onPeerReply(reply); },
+        [this](const Endpoint& peer, const std::string& reason) { log_.out().warn("event=dependency_lost name=peer address={} reason={}", peer.text(), reason); });
 }
 
 Gateway::~Gateway() = default;
@@ -91,8 +121,9 @@
         return 1;
     startTimers();
     registry_->start();
-    log_.out().info("event=started name={} zone={} caller={} registry={} seeds={}", settings_.name, settings_.zone, settings_.caller.text(),
-        settings_.registry.text(), settings_.seeds.size());
+    chooseSource();
+    log_.out().info("event=started name={} zone={} caller={} registry={} seeds={} reader={}", settings_.name, settings_.zone,
+        settings_.caller.text(), settings_.registry.text(), settings_.seeds.size(), isReader_);
     uv_run(&loop_, UV_RUN_DEFAULT);
     log_.out().info("event=stopped name={} requests={}", settings_.name, dispatcher_->stats().requests);
     log_.writeOut();
@@ -105,9 +136,12 @@
         log_.out().error("event=bind_failed address={}", settings_.caller.text());
         return false;
     }
+    if (!peerServer_->server.listen(settings_.peer.host, settings_.peer.port)) {
+        log_.out().error("event=bind_failed address={}", settings_.peer.text());
+        return false;
+    }
     const std::vector<std::pair<Endpoint, PageServer::Page>> listeners = {
         { settings_.readiness, [this](const HttpRequest& request) { return readinessPage(request); } },
-        { settings_.peer, [this](const HttpRequest& /*request*/) { return statusPage(); } },
         { settings_.metrics, [this](const HttpRequest& request) { return request.target == kStatusPath ? statusPage() : metricsPage(); } },
     };
     for (const auto& [endpoint, page] : listeners) {
@@ -160,7 +194,11 @@
 {
     checkSuspension();
     directory_.tick(clock_.now());
+    chooseSource();
+    dispatcher_->setFleetSize(fleet_.size(clock_.now(), isReader_));
     callers_->sweep();
+    peerServer_->tellNews();
+    peerServer_->sweep();
     for (const auto& page : pages_)
         page->server.sweep();
     links_->sweep();
@@ -181,6 +219,19 @@
         table ? table->version() : 0, directory_.size(), isLeaving_, reachability_.isCutOff(), reachability_.routesCut());
 }
 
+void Gateway::chooseSource()
+{
+    const bool reads = sources_->readsRegistry(clock_.now());
+    if (reads != registry_->isActive()) {
+        if (hasDirectory_)
+            log_.out().info("event=source_changed reads_registry={} knowledge_age_ms={}", reads, sources_->age(clock_.now()).count());
+        named_.clear();
+        follower_->forgetPositions();
+        registry_->setActive(reads);
+    }
+    follower_->step();
+}
+
 void Gateway::checkSuspension()
 {
     const TimePoint now = clock_.now();
@@ -218,6 +269,7 @@
 {
     callers_->stopListening();
     callers_->closeIdle();
+    follower_->stop();
     registry_->stop();
     uv_stop(&loop_);
 }
@@ -232,7 +284,7 @@
             log_.out().info("event=settings_reloaded file={} seeds={}", settingsFile_, settings_.seeds.size());
             return {};
         },
-        [this](const SettingsError& error) { log_.out().error("event=settings_refused problem=\"{}\"", describe(error)); },
+        [this](const SettingsError& error) { log_.out().error("event=settings_refused problem=\"{}\"", limpettrestle::describe(error)); },
         [this] { log_.out().error("event=settings_refused problem=\"unknown\""); });
 }
 
@@ -263,6 +315,7 @@
 void Gateway::onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync)
 {
     const TimePoint now = clock_.now();
+    sources_->registryAnswered(now);
     if (sync.hasReturned())
         directory_.deferRemovals(now + kReturnTime);
     for (platform::StoreItem& item : items)
@@ -270,29 +323,54 @@
     if (sync.hasCompletedReading()) {
         directory_.retainOnly(named_, now);
         named_.clear();
-        if (!hasDirectory_)
-            log_.out().info("event=registry_read revision={} replicas={}", sync.revision(), directory_.size());
-        hasDirectory_ = true;
+        completeDirectory();
     }
+    peerServer_->tellNews();
 }
 
 void Gateway::onRegistryAvailability(bool isAvailable, const std::string& reason)
 {
-    if (isAvailable)
+    if (isAvailable) {
         log_.out().info("event=dependency_regained name=registry");
-    else
-        log_.out().warn("event=dependency_lost name=registry reason={}", reason);
+        return;
+    }
+    log_.out().warn("event=dependency_lost name=registry reason={}", reason);
+    sources_->registryFailed(clock_.now());
+    follower_->forgetPositions();
+    follower_->step();
+}
+
+void Gateway::completeDirectory()
+{
+    if (!hasDirectory_)
+        log_.out().info("event=registry_read direct={} replicas={}", registry_->isActive(), directory_.size());
+    hasDirectory_ = true;
+}
+
+void Gateway::replicaLeft(const ReplicaPtr& replica)
+{
+    links_->replicaLeft(replica);
+    if (!replica->isListed)
+        changes_.replicaRemoved(replica->entry.id);
 }
 
 void Gateway::applyItem(const platform::ReplicaWritten& item)
 {
-    const ReplicaPtr known = directory_.find(item.entry.id);
-    const bool isChange = !known || known->entry.state != item.entry.state || known->entry.startedAt != item.entry.startedAt;
     named_.insert(item.entry.id);
-    directory_.apply(item.entry, clock_.now());
-    if (isChange && hasDirectory_)
-        log_.out().info("event=replica id={} service={} state={} born={} seq={}", item.entry.id, item.entry.service, name(item.entry.state),
-            item.entry.startedAt, item.entry.sequence);
+    applyReplica(item.entry);
+}
+
+void Gateway::applyReplica(const ReplicaEntry& entry)
+{
+    const ReplicaPtr before = directory_.find(entry.id);
+    const ReplicaState stateBefore = before ? before->entry.state : ReplicaState::Ready;
+    directory_.apply(entry, clock_.now());
+    const ReplicaPtr after = directory_.find(entry.id);
+    if (before == after && after->entry.state == stateBefore)
+        return;
+    changes_.replicaWritten(entry.id);
+    if (hasDirectory_)
+        log_.out().info("event=replica id={} service={} state={} born={} seq={}", entry.id, entry.service, name(entry.state), entry.startedAt, entry.sequence);
 }
 
 void Gateway::applyItem(const platform::ReplicaRemoved& item)
@@ -305,13 +383,19 @@
 
 void Gateway::applyItem(platform::ConfigWritten& item)
 {
-    const uint64_t version = item.document.version;
+    applyConfig(std::move(item.document), "registry");
+}
+
+void Gateway::applyConfig(RoutingDocument document, std::string_view source)
+{
+    const uint64_t version = document.version;
     const uint64_t before = dispatcher_->table() ? dispatcher_->table()->version() : 0;
-    const size_t routes = item.document.routes.size();
-    if (!dispatcher_->useTable(std::make_shared<const RouteTable>(std::move(item.document))))
+    const size_t routes = document.routes.size();
+    if (version <= before || !dispatcher_->useTable(std::make_shared<const RouteTable>(std::move(document))))
         return;
+    changes_.configChanged();
     callers_->setLimits(dispatcher_->table()->limits());
-    log_.out().info("event=config_in_force version={} before={} routes={}", version, before, routes);
+    log_.out().info("event=config_in_force version={} before={} routes={} source={}", version, before, routes, source);
 }
 
 void Gateway::applyItem(const platform::BadItem& item)
@@ -323,6 +407,63 @@
     directory_.remove(item.replicaId, clock_.now());
 }
 
+void Gateway::onPeerReply(const ChangesReply& reply)
+{
+    const TimePoint now = clock_.now();
+    if (isReader_)
+        fleet_.readerTold(reply.sender, reply.following, now);
+    else
+        fleet_.sizeTold(reply.fleet, now);
+    if (reply.config)
+        applyConfig(*reply.config, reply.sender);
+    // An instance that reads for itself takes replicas from others only while the registry is away.
+    const bool needsPeers = !registry_->isActive() || sources_->isRegistryAway();
+    if (needsPeers && reply.age < sources_->age(now))
+        applyPeerReplicas(reply);
+    peerServer_->tellNews();
+}
+
+void Gateway::applyPeerReplicas(const ChangesReply& reply)
+{
+    const TimePoint now = clock_.now();
+    for (const ReplicaEntry& entry : reply.written)
+        applyReplica(entry);
+    for (const std::string& id : reply.removed)
+        directory_.remove(id, now);
+    if (!reply.isWhole)
+        return;
+    absl::flat_hash_set<std::string> named;
+    for (const ReplicaEntry& entry : reply.written)
+        named.insert(entry.id);
+    directory_.retainOnly(named, now);
+    completeDirectory();
+}
+
+bool Gateway::hasKnowledge() const
+{
+    return hasDirectory_ && dispatcher_->table() != nullptr;
+}
+
+ChangesReply Gateway::describe(const ChangeSet& changes) const
+{
+    const TimePoint now = clock_.now();
+    ChangesReply reply;
+    reply.upTo = changes.upTo;
+    reply.isWhole = changes.isWhole;
+    reply.age = sources_->age(now);
+    reply.sender = settings_.name;
+    reply.following = fleet_.following(now);
+    reply.fleet = fleet_.size(now, isReader_);
+    for (const std::string& id : changes.written) {
+        if (const ReplicaPtr replica = directory_.find(id))
+            reply.written.push_back(replica->entry);
+    }
+    reply.removed = changes.removed;
+    if (changes.hasConfig && dispatcher_->table())
+        reply.config = dispatcher_->table()->document();
+    return reply;
+}
+
 bool Gateway::isReady() const
 {
     return !isLeaving_ && hasDirectory_ && dispatcher_->table() != nullptr && !reachability_.isCutOff();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "../process/reachability.h"
 #include "event_log.h"
 #include "gateway_metrics.h"
+#include "peer_exchange.h"
 #include "registry_client.h"
 #include "replica_links.h"
 
@@ -18,7 +19,7 @@
     virtual HttpResponse page(const HttpRequest& request) = 0;
 };
 
-class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI {
+class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public KnowledgeI {
 public:
     Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
     ~Gateway() override;
@@ -35,7 +36,20 @@
     void onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync) override;
     void onRegistryAvailability(bool isAvailable, const std::string& reason) override;
 
+    bool hasKnowledge() const override;
+    const ChangeLog& changes() const override { return changes_; }
+    ChangesReply describe(const ChangeSet& changes) const override;
+    void onPeerReply(const ChangesReply& reply);
+    void applyPeerReplicas(const ChangesReply& reply);
+
+    void makeDispatcher();
+    void makePeers();
     bool bindAll();
+    void chooseSource();
+    void replicaLeft(const ReplicaPtr& replica);
+    void applyReplica(const ReplicaEntry& entry);
+    void applyConfig(RoutingDocument document, std::string_view source);
+    void completeDirectory();
     void startTimers();
     void beforePoll();
     void houseKeep();
@@ -73,6 +87,12 @@
     std::unique_ptr<HttpServer> callers_;
     std::vector<std::unique_ptr<PageServer>> pages_;
     std::unique_ptr<RegistryClient> registry_;
+    ChangeLog changes_;
+    FleetSize fleet_;
+    bool isReader_ = false;
+    std::unique_ptr<SourceChoice> sources_;
+    std::unique_ptr<PeerServer> peerServer_;
+    std::unique_ptr<PeerFollower> follower_;
     /// Replicas named so far by a full reading.
     absl::flat_hash_set<std::string> named_;
     bool hasDirectory_ = false;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -23,16 +23,13 @@
         bool read(const json& root)
         {
             ObjectCheck check(root, "");
-            uint64_t instances = settings_.instances;
-            check.allow({ "name", "zone", "caller", "readiness", "peer", "metrics", "registry", "seeds", "repeats", "shutdown", "instances", "seed" });
+            check.allow({ "name", "zone", "caller", "readiness", "peer", "metrics", "registry", "seeds", "repeats", "reaction", "shutdown", "seed" });
             check.require("name").text("name", settings_.name);
             check.require("zone").text("zone", settings_.zone);
-            check.integer("instances", instances, 1, 100000);
             check.integer("seed", settings_.seed, 0, UINT64_MAX);
-            settings_.instances = static_cast<uint32_t>(instances);
             return accept(check) && readEndpoint(root, "", "caller", settings_.caller) && readEndpoint(root, "", "readiness", settings_.readiness)
                 && readEndpoint(root, "", "peer", settings_.peer) && readEndpoint(root, "", "metrics", settings_.metrics) && readRegistry(root)
-                && readSeeds(root) && readRepeats(root) && readShutdown(root);
+                && readSeeds(root) && readReaction(root) && readRepeats(root) && readShutdown(root);
         }
 
         SettingsError error;
@@ -66,8 +63,7 @@
             if (!root.contains("registry"))
                 return fail(ResultCode::SettingsMissingKey, "/registry", "an object with an address");
             ObjectCheck check(root["registry"], "/registry");
-            check.allow({ "address", "pause_ms" });
-            check.millis("pause_ms", settings_.registryPause, 50, 60000);
+            check.allow({ "address" });
             return accept(check) && readEndpoint(root["registry"], "/registry", "address", settings_.registry);
         }
 
@@ -87,6 +83,17 @@
             return true;
         }
 
+        bool readReaction(const json& root)
+        {
+            if (!root.contains("reaction"))
+                return true;
+            ObjectCheck check(root["reaction"], "/reaction");
+            check.allow({ "drain_ms", "config_ms" });
+            check.millis("drain_ms", settings_.drainReaction, 100, 600000);
+            check.millis("config_ms", settings_.configReaction, 100, 600000);
+            return accept(check);
+        }
+
         bool readRepeats(const json& root)
         {
             if (!root.contains("repeats"))
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -14,16 +14,15 @@
     Endpoint peer;
     Endpoint metrics;
     Endpoint registry;
-    /// Pause between two readings of changes.
-    Millis registryPause { 1000 };
+    /// Time in which a replica that leaves must get no more work, and a configuration must be in force.
+    Millis drainReaction { 3000 };
+    Millis configReaction { 3000 };
     /// Instances asked for what the registry does not tell.
     std::vector<Endpoint> seeds;
     /// Repeated calls allowed to all instances together: this share of the first calls, and a number
     /// on top of it.
     double repeatRatio = 0.2;
     double repeatSlack = 20;
-    /// Instances that share budgets and connections; the fleet and those that may join it.
-    uint32_t instances = 12;
     /// Time from the signal to the end of the process.
     Millis grace { 6000 };
     /// Seed of the decisions; drawn at start when zero.
--- /dev/null
+++ b/src/gateway/peer_exchange.cpp
@@ -0,0 +1,218 @@
+#include "peer_exchange.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Time for which a follower's call is held; with the slack below it bounds how long a reader that
+    /// has frozen goes unnoticed.
+    constexpr Millis kHold { 1000 };
+    constexpr Millis kHoldSlack { 700 };
+    constexpr Millis kConnectTimeout { 300 };
+    /// Time between two calls of a reader to another one.
+    constexpr Millis kSurveyPeriod { 1500 };
+
+} // namespace
+
+PeerServer::PeerServer(uv_loop_t* loop, const ClockI& clock, const KnowledgeI& knowledge, FleetSize& fleet)
+    : server(loop, *this, clock)
+    , clock_(clock)
+    , knowledge_(knowledge)
+    , fleet_(fleet)
+{
+}
+
+void PeerServer::onRequest(ExchangeId exchange, HttpRequest request)
+{
+    const std::optional<ChangesRequest> changes = decodeTarget(request.target);
+    if (!changes) {
+        HttpResponse response;
+        response.status = 400;
+        response.body = "error 108 bad_value: expected /changes?run=R&after=N&hold=MS&name=NAME\n";
+        server.respond(exchange, std::move(response));
+        return;
+    }
+    const TimePoint now = clock_.now();
+    if (!changes->follower.empty())
+        fleet_.followerSeen(changes->follower, now);
+    const bool hasNews = knowledge_.hasKnowledge() && changes->after != knowledge_.changes().position();
+    if (hasNews || changes->hold == Millis::zero())
+        answer(exchange, *changes);
+    else
+        waiting_.push_back({ exchange, *changes, now + changes->hold });
+}
+
+void PeerServer::onCallerLeft(ExchangeId exchange)
+{
+    std::erase_if(waiting_, [exchange](const Waiting& entry) { return entry.exchange == exchange; });
+}
+
+void PeerServer::answer(ExchangeId exchange, const ChangesRequest& request)
+{
+    HttpResponse response;
+    if (knowledge_.hasKnowledge()) {
+        response.status = 200;
+        response.headers.push_back({ "Content-Type", "application/json" });
+        response.body = encode(knowledge_.describe(knowledge_.changes().changesAfter(request.after)));
+    } else {
+        response.status = 503;
+        response.body = "error 204 not_ready\n";
+    }
+    server.respond(exchange, std::move(response));
+}
+
+void PeerServer::tellNews()
+{
+    if (!knowledge_.hasKnowledge())
+        return;
+    const ChangePosition position = knowledge_.changes().position();
+    std::vector<Waiting> due;
+    std::erase_if(waiting_, [&](const Waiting& entry) {
+        if (entry.request.after != position)
+            due.push_back(entry);
+        return entry.request.after != position;
+    });
+    for (const Waiting& entry : due)
+        answer(entry.exchange, entry.request);
+}
+
+void PeerServer::sweep()
+{
+    const TimePoint now = clock_.now();
+    std::vector<Waiting> due;
+    std::erase_if(waiting_, [&](const Waiting& entry) {
+        if (entry.until <= now)
+            due.push_back(entry);
+        return entry.until <= now;
+    });
+    for (const Waiting& entry : due)
+        answer(entry.exchange, entry.request);
+    server.sweep();
+}
+
+PeerFollower::PeerFollower(uv_loop_t* loop, const ClockI& clock, std::string name, std::vector<Endpoint> peers, bool isReader, SourceChoice& sources)
+    : loop_(loop)
+    , clock_(clock)
+    , name_(std::move(name))
+    , peers_(std::move(peers))
+    , isReader_(isReader)
+    , sources_(sources)
+    , positions_(peers_.size())
+{
+}
+
+void PeerFollower::setHandlers(ReplyHandler onReply, LossHandler onLoss)
+{
+    onReply_ = std::move(onReply);
+    onLoss_ = std::move(onLoss);
+}
+
+void PeerFollower::step()
+{
+    const TimePoint now = clock_.now();
+    if (isCalling_) {
+        if (now >= callLimit_) {
+            dropConnection();
+            fail("timeout");
+        }
+        return;
+    }
+    if (peers_.empty())
+        return;
+    const int followed = sources_.peer(now);
+    if (followed >= 0) {
+        call(static_cast<size_t>(followed), kHold);
+    } else if (isReader_ && now >= nextSurveyAt_) {
+        nextSurveyAt_ = now + kSurveyPeriod;
+        nextSurvey_ = (nextSurvey_ + 1) % peers_.size();
+        call(nextSurvey_, Millis::zero());
+    }
+}
+
+void PeerFollower::forgetPositions()
+{
+    std::fill(positions_.begin(), positions_.end(), ChangePosition {});
+    isOutdated_ = isCalling_;
+}
+
+void PeerFollower::stop()
+{
+    dropConnection();
+    isCalling_ = true;
+    callLimit_ = TimePoint::max();
+}
+
+void PeerFollower::call(size_t peer, Millis hold)
+{
+    if (connection_ != nullptr && connectedTo_ != peer)
+        dropConnection();
+    isCalling_ = true;
+    isOutdated_ = false;
+    connectedTo_ = peer;
+    request_ = { positions_[peer], hold, isReader_ ? "" : name_ };
+    callLimit_ = clock_.now() + hold + kHoldSlack;
+    if (connection_ == nullptr)
+        connection_ = HttpClientConnection::open(loop_, peers_[peer].host, peers_[peer].port, kConnectTimeout, *this);
+    else
+        send();
+}
+
+void PeerFollower::send()
+{
+    const std::string head = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", encodeTarget(request_), peers_[connectedTo_].text());
+    if (connection_->send(head, ""))
+        return;
+    dropConnection();
+    fail("closed");
+}
+
+void PeerFollower::fail(const std::string& reason)
+{
+    isCalling_ = false;
+    sources_.peerFailed(static_cast<int>(connectedTo_), clock_.now());
+    onLoss_(peers_[connectedTo_], reason);
+}
+
+void PeerFollower::dropConnection()
+{
+    if (connection_ != nullptr)
+        connection_->close();
+    connection_ = nullptr;
+}
+
+void PeerFollower::onConnected(HttpClientConnection& /*connection*/)
+{
+    if (isCalling_)
+        send();
+}
+
+AfterResponse PeerFollower::onResponse(HttpClientConnection& /*connection*/, HttpResponse response, bool isReusable)
+{
+    if (!isReusable)
+        dropConnection();
+    const std::optional<ChangesReply> reply = response.status == 200 ? decodeReply(response.body) : std::nullopt;
+    if (!reply) {
+        fail(fmt::format("status_{}", response.status));
+        return AfterResponse::Keep;
+    }
+    isCalling_ = false;
+    positions_[connectedTo_] = isOutdated_ ? ChangePosition {} : reply->upTo;
+    onReply_(*reply);
+    sources_.peerAnswered(static_cast<int>(connectedTo_), reply->age, clock_.now());
+    step();
+    return AfterResponse::Keep;
+}
+
+void PeerFollower::onEnded(HttpClientConnection& connection, ConnectionEnd end)
+{
+    if (connection_ != &connection)
+        return;
+    connection_ = nullptr;
+    if (isCalling_)
+        fail(std::string(name(end)));
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/gateway/peer_exchange.h
@@ -0,0 +1,101 @@
+#pragma once
+
+/// Exchange of changes between instances: answers followers, and follows a reader.
+
+#include "../net/http_client.h"
+#include "../net/http_server.h"
+#include "../process/fleet_size.h"
+#include "../process/source_choice.h"
+#include "gateway_settings.h"
+#include "peer_messages.h"
+
+#include <functional>
+
+namespace limpettrestle {
+
+/// What an instance can tell others.
+class KnowledgeI {
+public:
+    virtual ~KnowledgeI() = default;
+    /// False until the instance knows replicas and configuration.
+    virtual bool hasKnowledge() const = 0;
+    virtual const ChangeLog& changes() const = 0;
+    /// Fills in entries, configuration, age and numbers of the fleet.
+    virtual ChangesReply describe(const ChangeSet& changes) const = 0;
+};
+
+/// Answers followers; holds an answer until there is something to tell.
+class PeerServer final : public HttpHandlerI {
+public:
+    PeerServer(uv_loop_t* loop, const ClockI& clock, const KnowledgeI& knowledge, FleetSize& fleet);
+
+    void onRequest(ExchangeId exchange, HttpRequest request) override;
+    void onCallerLeft(ExchangeId exchange) override;
+    /// Answers the followers for whom there is news.
+    void tellNews();
+    /// Answers those whose hold is over.
+    void sweep();
+
+    HttpServer server;
+
+private:
+    struct Waiting {
+        ExchangeId exchange = 0;
+        ChangesRequest request;
+        TimePoint until {};
+    };
+
+    void answer(ExchangeId exchange, const ChangesRequest& request);
+
+    const ClockI& clock_;
+    const KnowledgeI& knowledge_;
+    FleetSize& fleet_;
+    std::vector<Waiting> waiting_;
+};
+
+/// Asks the readers: the one that is followed for changes, and as a reader the others for their numbers.
+class PeerFollower final : public HttpClientListenerI {
+public:
+    using ReplyHandler = std::function<void(const ChangesReply&)>;
+    using LossHandler = std::function<void(const Endpoint&, const std::string& reason)>;
+
+    PeerFollower(uv_loop_t* loop, const ClockI& clock, std::string name, std::vector<Endpoint> peers, bool isReader, SourceChoice& sources);
+
+    void setHandlers(ReplyHandler onReply, LossHandler onLoss);
+    /// Starts the next call when one is due; to be called at a steady pace.
+    void step();
+    /// The next answer of each reader is to tell everything.
+    void forgetPositions();
+    void stop();
+
+private:
+    void call(size_t peer, Millis hold);
+    void send();
+    void fail(const std::string& reason);
+    void dropConnection();
+
+    void onConnected(HttpClientConnection& connection) override;
+    AfterResponse onResponse(HttpClientConnection& connection, HttpResponse response, bool isReusable) override;
+    void onEnded(HttpClientConnection& connection, ConnectionEnd end) override;
+
+    uv_loop_t* loop_;
+    const ClockI& clock_;
+    const std::string name_;
+    const std::vector<Endpoint> peers_;
+    const bool isReader_;
+    SourceChoice& sources_;
+    ReplyHandler onReply_;
+    LossHandler onLoss_;
+    std::vector<ChangePosition> positions_;
+    HttpClientConnection* connection_ = nullptr;
+    size_t connectedTo_ = 0;
+    bool isCalling_ = false;
+    /// The open call asks from a position that no longer counts.
+    bool isOutdated_ = false;
+    ChangesRequest request_;
+    TimePoint callLimit_ {};
+    TimePoint nextSurveyAt_ {};
+    size_t nextSurvey_ = 0;
+};
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/gateway/peer_messages.cpp
@@ -0,0 +1,178 @@
+#include "peer_messages.h"
+
+#include "../net/http_message.h"
+#include "../version/route_table.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace limpettrestle {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::string_view kPath = "/changes?";
+    /// Longest hold that is granted.
+    constexpr int64_t kMaxHoldMs = 10000;
+
+    json encodeEntry(const ReplicaEntry& entry)
+    {
+        return json::array({ entry.id, entry.service, entry.host, entry.port, entry.zone, entry.slots, static_cast<int>(entry.state), entry.warmupLeft.count(), entry.startedAt, entry.sequence });
+    }
+
+    ReplicaEntry decodeEntry(const json& value)
+    {
+        ReplicaEntry entry;
+        entry.id = value.at(0).get<std::string>();
+        entry.service = value.at(1).get<std::string>();
+        entry.host = value.at(2).get<std::string>();
+        entry.port = value.at(3).get<int>();
+        entry.zone = value.at(4).get<std::string>();
+        entry.slots = value.at(5).get<uint32_t>();
+        entry.state = value.at(6).get<int>() == 0 ? ReplicaState::Ready : ReplicaState::Draining;
+        entry.warmupLeft = Millis(value.at(7).get<int64_t>());
+        entry.startedAt = value.at(8).get<int64_t>();
+        entry.sequence = value.at(9).get<uint64_t>();
+        return entry;
+    }
+
+    json encodeRoute(const RouteSpec& route)
+    {
+        json shares = json::array();
+        for (const ServiceShare& share : route.shares)
+            shares.push_back(json::array({ share.service, share.weight }));
+        return { { "name", route.name }, { "host", route.host }, { "prefix", route.prefix }, { "once", route.repeat == RepeatPolicy::AtMostOnce },
+            { "timeout", route.timeout.count() }, { "target", route.latencyTarget.count() }, { "priority", route.priority },
+            { "attempts", route.maxAttempts }, { "shares", shares }, { "shards", route.shards }, { "top", route.topRecords }, { "coverage", route.minCoverage } };
+    }
+
+    RouteSpec decodeRoute(const json& value)
+    {
+        RouteSpec route;
+        route.name = value.at("name").get<std::string>();
+        route.host = value.at("host").get<std::string>();
+        route.prefix = value.at("prefix").get<std::string>();
+        route.repeat = value.at("once").get<bool>() ? RepeatPolicy::AtMostOnce : RepeatPolicy::Idempotent;
+        route.timeout = Millis(value.at("timeout").get<int64_t>());
+        route.latencyTarget = Millis(value.at("target").get<int64_t>());
+        route.priority = value.at("priority").get<uint32_t>();
+        route.maxAttempts = value.at("attempts").get<uint32_t>();
+        for (const json& share : value.at("shares"))
+            route.shares.push_back({ share.at(0).get<std::string>(), share.at(1).get<uint32_t>() });
+        route.shards = value.at("shards").get<std::vector<std::string>>();
+        route.topRecords = value.at("top").get<uint32_t>();
+        route.minCoverage = value.at("coverage").get<double>();
+        return route;
+    }
+
+    json encodeConfig(const RoutingDocument& document)
+    {
+        json routes = json::array();
+        for (const RouteSpec& route : document.routes)
+            routes.push_back(encodeRoute(route));
+        json services = json::array();
+        for (const ServiceSpec& service : document.services)
+            services.push_back(json::array({ service.name, service.maxConnections }));
+        const IngressLimits& limits = document.limits;
+        return { { "version", document.version }, { "routes", routes }, { "services", services },
+            { "limits", json::array({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout.count(), limits.idleTimeout.count() }) } };
+    }
+
+    RoutingDocument decodeConfig(const json& value)
+    {
+        RoutingDocument document;
+        document.version = value.at("version").get<uint64_t>();
+        for (const json& route : value.at("routes"))
+            document.routes.push_back(decodeRoute(route));
+        for (const json& service : value.at("services"))
+            document.services.push_back({ service.at(0).get<std::string>(), service.at(1).get<uint32_t>() });
+        const json& limits = value.at("limits");
+        document.limits = { limits.at(0).get<uint32_t>(), limits.at(1).get<uint32_t>(), Millis(limits.at(2).get<int64_t>()), Millis(limits.at(3).get<int64_t>()) };
+        return document;
+    }
+
+    /// Fields "name=value" of a query.
+    template <typename Taker>
+    void eachField(std::string_view query, Taker take)
+    {
+        while (!query.empty()) {
+            const size_t end = query.find('&');
+            const std::string_view field = query.substr(0, end);
+            const size_t equals = field.find('=');
+            if (equals != std::string_view::npos)
+                take(field.substr(0, equals), field.substr(equals + 1));
+            query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+        }
+    }
+
+} // namespace
+
+std::string encodeTarget(const ChangesRequest& request)
+{
+    return fmt::format("{}run={}&after={}&hold={}&name={}", kPath, request.after.run, request.after.number, request.hold.count(), request.follower);
+}
+
+std::optional<ChangesRequest> decodeTarget(const std::string& target)
+{
+    if (!target.starts_with(kPath))
+        return std::nullopt;
+    ChangesRequest request;
+    bool isGood = true;
+    eachField(std::string_view(target).substr(kPath.size()), [&](std::string_view name, std::string_view value) {
+        int64_t hold = 0;
+        if (name == "run") {
+            isGood &= parseNumber(value, request.after.run);
+        } else if (name == "after") {
+            isGood &= parseNumber(value, request.after.number);
+        } else if (name == "hold") {
+            isGood &= parseNumber(value, hold) && hold >= 0;
+            request.hold = Millis(std::min(hold, kMaxHoldMs));
+        } else if (name == "name") {
+            request.follower = value;
+        }
+    });
+    if (!isGood)
+        return std::nullopt;
+    return request;
+}
+
+std::string encode(const ChangesReply& reply)
+{
+    json written = json::array();
+    for (const ReplicaEntry& entry : reply.written)
+        written.push_back(encodeEntry(entry));
+    json root = { { "run", reply.upTo.run }, { "number", reply.upTo.number }, { "whole", reply.isWhole }, { "age_ms", reply.age.count() },
+        { "sender", reply.sender }, { "following", reply.following }, { "fleet", reply.fleet }, { "written", written }, { "removed", reply.removed } };
+    if (reply.config)
+        root["config"] = encodeConfig(*reply.config);
+    return root.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<ChangesReply> decodeReply(const std::string& text)
+{
+    // The codec library reports a missing or mistyped field by an exception, which ends here.
+    try {
+        const json root = json::parse(text);
+        ChangesReply reply;
+        reply.upTo = { root.at("run").get<uint64_t>(), root.at("number").get<uint64_t>() };
+        reply.isWhole = root.at("whole").get<bool>();
+        reply.age = Millis(std::max<int64_t>(0, root.at("age_ms").get<int64_t>()));
+        reply.sender = root.at("sender").get<std::string>();
+        reply.following = root.at("following").get<uint32_t>();
+        reply.fleet = root.at("fleet").get<uint32_t>();
+        for (const json& entry : root.at("written"))
+            reply.written.push_back(decodeEntry(entry));
+        reply.removed = root.at("removed").get<std::vector<std::string>>();
+        if (root.contains("config")) {
+            reply.config = decodeConfig(root["config"]);
+            if (!findContradiction(*reply.config).empty())
+                return std::nullopt;
+        }
+        return reply;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace limpettrestle
--- a/src/gateway/registry_client.cpp
+++ b/src/gateway/registry_client.cpp
@@ -27,13 +27,25 @@
     timer_ = new uv_timer_t;
     uv_timer_init(loop_, timer_);
     timer_->data = this;
-    sync_.restart(clock_.now());
-    startCall();
+}
+
+void RegistryClient::setActive(bool isActive)
+{
+    if (isActive == isActive_ || isStopped_)
+        return;
+    isActive_ = isActive;
+    if (isActive) {
+        restart();
+        return;
+    }
+    dropConnection();
+    isCalling_ = false;
+    uv_timer_stop(timer_);
 }
 
 void RegistryClient::restart()
 {
-    if (isStopped_)
+    if (isStopped_ || !isActive_)
         return;
     dropConnection();
     isCalling_ = false;
@@ -96,7 +108,7 @@
         handler_.onRegistryAvailability(wasAway, status == 0 ? reason : fmt::format("status_{}", status));
     if (reply.result.outcome == RegistryOutcome::Done)
         handler_.onRegistryItems(std::move(reply.items), sync_);
-    if (!isStopped_)
+    if (!isStopped_ && isActive_)
         schedule();
 }
 
--- a/src/gateway/registry_client.h
+++ b/src/gateway/registry_client.h
@@ -27,6 +27,9 @@
     /// Reads everything anew, on a new connection.
     void restart();
     void stop();
+    /// Stops and starts reading; a new start reads everything.
+    void setActive(bool isActive);
+    bool isActive() const { return isActive_; }
     uint64_t calls() const { return calls_; }
     const RegistrySync& sync() const { return sync_; }
 
@@ -52,6 +55,7 @@
     RegistryCall call_;
     bool isCalling_ = false;
     bool isStopped_ = false;
+    bool isActive_ = false;
     uint64_t calls_ = 0;
 };
 
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -159,8 +159,10 @@
             return;
         if (!replica->takesWork() || table->maxConnections(replica->entry.service) == 0)
             continue;
-        const bool isNew = !links_.contains(replica.get());
-        const bool isRetry = !isNew && replica->health.isRetryDue(now) && linkTo(replica).channels.empty();
+        const std::vector<ReplicaPtr> used = dispatcher_->usedReplicas(replica->entry.service);
+        const bool isUsed = std::find(used.begin(), used.end(), replica) != used.end();
+        const bool isNew = isUsed && !links_.contains(replica.get());
+        const bool isRetry = replica->health.isRetryDue(now) && linkTo(replica).channels.empty();
         if (!isNew && !isRetry)
             continue;
         openChannel(linkTo(replica));
@@ -193,9 +195,7 @@
 
 size_t ReplicaLinks::limitOf(const Link& link) const
 {
-    const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
-    const uint32_t all = table ? table->maxConnections(link.replica->entry.service) : 0;
-    return std::clamp<size_t>(all / std::max<uint32_t>(init_.instances, 1), 1, kMaxChannels);
+    return std::min(kMaxChannels, dispatcher_->connectionLimit(link.replica->entry.service));
 }
 
 void ReplicaLinks::pump(Link& link)
--- a/src/gateway/replica_links.h
+++ b/src/gateway/replica_links.h
@@ -14,8 +14,6 @@
     uv_loop_t* loop = nullptr;
     const ClockI* clock = nullptr;
     ReplicaDirectory* directory = nullptr;
-    /// Instances that share the connections of a replica.
-    uint32_t instances = 12;
 };
 
 struct ReplicaLinksStats {
--- /dev/null
+++ b/src/process/source_choice.cpp
@@ -0,0 +1,91 @@
+#include "source_choice.h"
+
+#include <algorithm>
+
+namespace limpettrestle {
+
+namespace {
+
+    /// Knowledge older than this is renewed from the registry: well below the time in which
+    /// instances must react to a leaving replica.
+    constexpr Millis kMaxAge { 2400 };
+    /// Time for which a reader that failed, or that knows old things only, is not asked.
+    constexpr Millis kAvoidTime { 3000 };
+    /// An instance that starts gives the readers, which may be starting too, so long before it reads
+    /// for itself, and asks one that failed again after the second time.
+    constexpr Millis kStartTime { 700 };
+    constexpr Millis kStartAvoidTime { 100 };
+
+} // namespace
+
+SourceChoice::SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now)
+    : peers_(peers)
+    , isReader_(isReader)
+    , offset_(offset)
+    , startedAt_(now)
+{
+}
+
+bool SourceChoice::isStarting(TimePoint now) const
+{
+    return knownAt_ == TimePoint {} && now - startedAt_ < kStartTime;
+}
+
+bool SourceChoice::hasFreshPeer(TimePoint now) const
+{
+    return now - peerKnownAt_ <= kMaxAge;
+}
+
+bool SourceChoice::readsRegistry(TimePoint now) const
+{
+    if (isReader_ || peers_.empty())
+        return true;
+    if (isStarting(now))
+        return false;
+    return peer(now) < 0 || !hasFreshPeer(now);
+}
+
+int SourceChoice::peer(TimePoint now) const
+{
+    // A reader follows others only while the registry does not answer it.
+    if (peers_.empty() || (isReader_ && !isRegistryAway_))
+        return -1;
+    for (size_t i = 0; i < peers_.size(); ++i) {
+        const size_t index = (offset_ + i) % peers_.size();
+        if (now >= peers_[index].avoidUntil)
+            return static_cast<int>(index);
+    }
+    return -1;
+}
+
+void SourceChoice::peerAnswered(int peer, Millis age, TimePoint now)
+{
+    const TimePoint knownAt = now - age;
+    knownAt_ = std::max(knownAt_, knownAt);
+    peerKnownAt_ = std::max(peerKnownAt_, knownAt);
+    if (age > kMaxAge)
+        peers_[static_cast<size_t>(peer)].avoidUntil = now + kAvoidTime;
+}
+
+void SourceChoice::peerFailed(int peer, TimePoint now)
+{
+    peers_[static_cast<size_t>(peer)].avoidUntil = now + (isStarting(now) ? kStartAvoidTime : kAvoidTime);
+}
+
+void SourceChoice::registryAnswered(TimePoint now)
+{
+    isRegistryAway_ = false;
+    knownAt_ = now;
+}
+
+void SourceChoice::registryFailed(TimePoint /*now*/)
+{
+    isRegistryAway_ = true;
+}
+
+Millis SourceChoice::age(TimePoint now) const
+{
+    return std::chrono::duration_cast<Millis>(std::min<TimePoint::duration>(now - knownAt_, std::chrono::hours(1)));
+}
+
+} // namespace limpettrestle
--- /dev/null
+++ b/src/process/source_choice.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// Decides where an instance learns of replicas and configuration: from the registry itself or from
+/// an instance that reads it. Following is an economy; any instance reads for itself when it must.
+
+#include "limpettrestle/routing.h"
+
+namespace limpettrestle {
+
+class SourceChoice {
+public:
+    /// `peers`: readers other than this instance. `isReader`: this instance is one of them.
+    /// `offset`: spreads followers over the readers.
+    SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now);
+
+    /// True while the registry is to be read directly.
+    bool readsRegistry(TimePoint now) const;
+    /// Reader to follow at present; -1 when none is worth asking.
+    int peer(TimePoint now) const;
+
+    /// A reader answered; `age`: time since the knowledge in its answer left the registry.
+    void peerAnswered(int peer, Millis age, TimePoint now);
+    void peerFailed(int peer, TimePoint now);
+    void registryAnswered(TimePoint now);
+    void registryFailed(TimePoint now);
+
+    /// The registry did not answer the last time it was asked.
+    bool isRegistryAway() const { return isRegistryAway_; }
+    /// Time since what this instance knows left the registry.
+    Millis age(TimePoint now) const;
+
+private:
+    struct Peer {
+        TimePoint avoidUntil {};
+    };
+
+    bool hasFreshPeer(TimePoint now) const;
+    bool isStarting(TimePoint now) const;
+
+    std::vector<Peer> peers_;
+    const bool isReader_;
+    const size_t offset_;
+    const TimePoint startedAt_;
+    /// Time at which the newest knowledge left the registry.
+    TimePoint knownAt_ {};
+    TimePoint peerKnownAt_ {};
+    bool isRegistryAway_ = false;
+};
+
+} // namespace limpettrestle
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -16,6 +16,14 @@
     constexpr Millis kRetryLater { 100 };
     /// A call whose request is answered may still end by itself for so long.
     constexpr Millis kAbandonGrace { 100 };
+    /// Instances assumed until the fleet is known: many, so that budgets and connections start small.
+    constexpr uint32_t kAssumedInstances = 60;
+    /// Instances that may join at any moment: a share of those known, and a number.
+    constexpr uint32_t kJoiningShare = 10;
+    constexpr uint32_t kJoining = 2;
+    /// A further share is kept from the budgets, since processes that start anew begin with a full one.
+    constexpr uint32_t kBurstReserveShare = 5;
+    constexpr double kLeastBurst = 1;
     /// Trail of decisions in a report, bytes at most.
     constexpr size_t kMaxTrail = 600;
     /// Share of the objective taken as the usual time of a call before any is known.
@@ -32,10 +40,30 @@
     , clock_(*init.clock)
     , random_(init.seed)
 {
+    subset_.instance = init.instance;
+    subset_.zone = init.zone;
+    setFleetSize(kAssumedInstances);
 }
 
 Dispatcher::~Dispatcher() = default;
 
+void Dispatcher::setFleetSize(uint32_t instances)
+{
+    subset_.instances = instances + instances / kJoiningShare + kJoining;
+    const double share = init_.repeatSlack / (subset_.instances + instances / kBurstReserveShare);
+    repeatBurst_ = init_.repeatSlack > 0 ? std::max(kLeastBurst, share) : 0;
+}
+
+std::vector<ReplicaPtr> Dispatcher::usedReplicas(const std::string& service) const
+{
+    return limpettrestle::usedReplicas(init_.directory->of(service), table_ ? table_->maxConnections(service) : 0, subset_);
+}
+
+size_t Dispatcher::connectionLimit(const std::string& service) const
+{
+    return connectionShare(table_ ? table_->maxConnections(service) : 0, subset_.instances);
+}
+
 bool Dispatcher::useTable(std::shared_ptr<const RouteTable> table)
 {
     if (table_ && table->version() <= table_->version())
@@ -227,7 +255,7 @@
     const auto found = budgets_.find(service);
     if (found != budgets_.end())
         return found->second;
-    return budgets_.emplace(service, RepeatBudget(init_.repeatRatio, init_.repeatBurst)).first->second;
+    return budgets_.emplace(service, RepeatBudget(repeatBurst_)).first->second;
 }
 
 void Dispatcher::check(OpenRequest& open)
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -6,6 +6,7 @@
 #include "../connection/latency_quantile.h"
 #include "../connection/repeat_budget.h"
 #include "../connection/replica_choice.h"
+#include "../connection/replica_subset.h"
 #include "../process/replica_directory.h"
 #include "../version/route_table.h"
 #include "share_cycle.h"
@@ -66,8 +67,10 @@
     uint64_t seed = 1;
     /// Repeats per first call to a service, as allowed for all instances together.
     double repeatRatio = 0.2;
-    /// Repeats in hand of one instance for each service.
-    double repeatBurst = 2.0;
+    /// Repeats beyond the ratio, for each service and all instances together.
+    double repeatSlack = 20;
+    /// Name of this instance.
+    std::string instance;
     /// Kept free before the objective, beyond the time on the way: merging and sending an answer.
     Millis answerMargin { 4 };
     /// Open requests at most.
@@ -92,6 +95,13 @@
     Dispatcher(const Dispatcher&) = delete;
     Dispatcher& operator=(const Dispatcher&) = delete;
 
+    /// Tells how many instances share the budgets and the connections of replicas.
+    void setFleetSize(uint32_t instances);
+    /// Replicas of a service that this instance uses.
+    std::vector<ReplicaPtr> usedReplicas(const std::string& service) const;
+    /// Connections that this instance may hold to one replica of a service.
+    size_t connectionLimit(const std::string& service) const;
+
     /// Takes a configuration into force unless its version is not newer.
     bool useTable(std::shared_ptr<const RouteTable> table);
     const std::shared_ptr<const RouteTable>& table() const { return table_; }
@@ -176,6 +186,8 @@
     std::deque<std::pair<TimePoint, uint64_t>> abandoned_;
     absl::flat_hash_map<std::string, std::unique_ptr<RouteState>> routeStates_;
     absl::flat_hash_map<std::string, RepeatBudget> budgets_;
+    SubsetRule subset_;
+    double repeatBurst_ = 1;
     std::deque<CallEvent> events_;
     bool isDraining_ = false;
     uint64_t lastCall_ = 0;
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -56,7 +56,7 @@
 {
     std::vector<ReplicaPtr> chosen;
     for (Part& part : open.parts) {
-        budgetOf(*part.service).firstCall();
+        budgetOf(*part.service).firstCall(init_.repeatRatio, repeatBurst_);
         chosen.push_back(chooseFor(open, part, ChoiceScope::First));
         if (!chosen.back())
             markMissing(part, ResultCode::NoReplicaReachable);
@@ -72,8 +72,9 @@
 
 ReplicaPtr Dispatcher::chooseFor(const OpenRequest& open, const Part& part, ChoiceScope scope)
 {
-    const ChoiceQuery query { *part.service, init_.zone, scope, open.state->mean, open.mayRepeat() ? kLossCostRepeatable : kLossCostOnce, part.used };
-    return chooseReplica(*init_.directory, query, clock_.now());
+    const std::vector<ReplicaPtr> candidates = usedReplicas(*part.service);
+    const ChoiceQuery query { candidates, init_.zone, scope, open.state->mean, open.mayRepeat() ? kLossCostRepeatable : kLossCostOnce, part.used };
+    return chooseReplica(query, clock_.now());
 }
 
 void Dispatcher::launch(OpenRequest& open, size_t index, const ReplicaPtr& replica, bool isRepeat)
@@ -146,7 +147,7 @@
     const TimePoint lastChance = open.targetAt - repeatDelay(open) - kMinTimeLeft;
     const bool isEarly = now < lastChance;
     // Part of the budget is kept for calls that are still open when a repeat can just be in time.
-    const double needed = isEarly ? 1 + init_.repeatBurst * kEarlyReserve : 1;
+    const double needed = isEarly ? 1 + repeatBurst_ * kEarlyReserve : 1;
     if (budgetOf(*open.parts[index].service).tokens() < needed) {
         ++stats_.repeatsDenied;
         if (isEarly)
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -14,6 +14,7 @@
     explicit RouteTable(RoutingDocument document);
 
     uint64_t version() const { return document_.version; }
+    const RoutingDocument& document() const { return document_; }
     const IngressLimits& limits() const { return document_.limits; }
     const std::vector<RouteSpec>& routes() const { return document_.routes; }
     const std::vector<ServiceSpec>& services() const { return document_.services; }
--- /dev/null
+++ b/tests/source_test.cpp
@@ -0,0 +1,285 @@
+/// Where an instance learns from: readers, followers, and what each does without the other.
+
+#include "../src/gateway/peer_messages.h"
+#include "../src/process/fleet_size.h"
+#include "../src/process/registry_sync.h"
+#include "../src/process/source_choice.h"
+#include "support/routing_bed.h"
+
+#include <catch2/catch.hpp>
+
+using namespace limpettrestle;
+
+namespace {
+
+const TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+} // namespace
+
+TEST_CASE("a follower leaves the registry alone while its reader knows fresh things")
+{
+    SourceChoice sources(3, false, 1, kStart);
+    CHECK(sources.peer(kStart) == 1);
+    sources.peerAnswered(1, Millis(500), kStart + Millis(100));
+    CHECK_FALSE(sources.readsRegistry(kStart + Millis(1900)));
+    CHECK(sources.readsRegistry(kStart + Millis(2200)));
+}
+
+TEST_CASE("a follower whose readers are all lost reads for itself")
+{
+    SourceChoice sources(2, false, 0, kStart);
+    const TimePoint later = kStart + std::chrono::seconds(10);
+    sources.peerAnswered(0, Millis(0), later);
+    sources.peerFailed(0, later);
+    CHECK(sources.peer(later) == 1);
+    sources.peerFailed(1, later);
+    CHECK(sources.readsRegistry(later));
+    CHECK(sources.peer(later + std::chrono::seconds(4)) == 0);
+}
+
+TEST_CASE("a reader that knows old things only is left for another one")
+{
+    SourceChoice sources(2, false, 0, kStart);
+    sources.peerAnswered(0, Millis(5000), kStart + Millis(100));
+    CHECK(sources.peer(kStart + Millis(100)) == 1);
+}
+
+TEST_CASE("a reader follows another one only while the registry does not answer")
+{
+    SourceChoice sources(2, true, 0, kStart);
+    CHECK(sources.readsRegistry(kStart));
+    CHECK(sources.peer(kStart) == -1);
+    sources.registryFailed(kStart);
+    CHECK(sources.peer(kStart) == 0);
+    CHECK(sources.readsRegistry(kStart));
+    sources.registryAnswered(kStart + Millis(1));
+    CHECK(sources.peer(kStart + Millis(1)) == -1);
+}
+
+TEST_CASE("a change log tells followers what is new, and everything when they are too far behind")
+{
+    ChangeLog log(7);
+    log.replicaWritten("a");
+    log.replicaWritten("b");
+    log.configChanged();
+    ChangeSet all = log.changesAfter({});
+    CHECK(all.isWhole);
+    CHECK(all.written.size() == 2);
+    CHECK(all.hasConfig);
+    const ChangePosition seen = all.upTo;
+    log.replicaRemoved("a");
+    log.replicaWritten("b");
+    const ChangeSet news = log.changesAfter(seen);
+    CHECK_FALSE(news.isWhole);
+    CHECK(news.written == std::vector<std::string> { "b" });
+    CHECK(news.removed == std::vector<std::string> { "a" });
+    CHECK_FALSE(news.hasConfig);
+    CHECK(log.changesAfter({ 8, 1 }).isWhole);
+    CHECK(log.changesAfter({ 7, 1000 }).isWhole);
+}
+
+TEST_CASE("a replica removed and back again is told as written")
+{
+    ChangeLog log(7);
+    log.replicaWritten("a");
+    const ChangePosition seen = log.position();
+    log.replicaRemoved("a");
+    log.replicaWritten("a");
+    const ChangeSet news = log.changesAfter(seen);
+    CHECK(news.written.size() == 1);
+    CHECK(news.removed.empty());
+}
+
+TEST_CASE("messages between instances come out as they went in")
+{
+    RoutingBed bed;
+    bed.useStandardRoutes(3, RepeatPolicy::AtMostOnce);
+    ChangesReply reply;
+    reply.upTo = { 7, 12 };
+    reply.isWhole = true;
+    reply.age = Millis(321);
+    reply.sender = "n1";
+    reply.following = 4;
+    reply.fleet = 12;
+    reply.written.push_back(bed.directory.find("s0-a")->entry);
+    reply.removed = { "gone" };
+    reply.config = bed.dispatcher->table()->document();
+    const std::optional<ChangesReply> back = decodeReply(encode(reply));
+    REQUIRE(back);
+    CHECK(back->upTo == reply.upTo);
+    CHECK(back->age == reply.age);
+    CHECK(back->fleet == 12);
+    REQUIRE(back->written.size() == 1);
+    CHECK(back->written[0].id == "s0-a");
+    CHECK(back->written[0].zone == "north");
+    REQUIRE(back->config);
+    REQUIRE(back->config->routes.size() == 2);
+    CHECK(back->config->routes[0].shards.size() == 3);
+    CHECK(back->config->routes[1].repeat == RepeatPolicy::AtMostOnce);
+    const std::optional<ChangesRequest> request = decodeTarget(encodeTarget({ { 7, 12 }, Millis(900), "n2" }));
+    REQUIRE(request);
+    CHECK(request->after == ChangePosition { 7, 12 });
+    CHECK(request->follower == "n2");
+}
+
+TEST_CASE("malformed messages between instances are refused")
+{
+    for (const char* text : { "", "{", "[]", "{\"run\":1}", "{\"run\":\"x\",\"number\":1}", "null" })
+        CHECK_FALSE(decodeReply(text));
+    CHECK_FALSE(decodeTarget("/other"));
+    CHECK_FALSE(decodeTarget("/changes?run=x&after=1"));
+    CHECK_FALSE(decodeTarget("/changes?run=1&after=1&hold=-5"));
+    ChangesReply reply;
+    std::string text = encode(reply);
+    for (size_t cut = 0; cut < text.size(); ++cut)
+        CHECK_FALSE(decodeReply(text.substr(0, cut)));
+}
+
+TEST_CASE("the size of the fleet is that of all readers' followers")
+{
+    FleetSize fleet(60);
+    CHECK(fleet.size(kStart, true) == 60);
+    CHECK(fleet.size(kStart, false) == 60);
+    fleet.followerSeen("a", kStart);
+    fleet.followerSeen("b", kStart);
+    fleet.readerTold("r2", 3, kStart);
+    CHECK(fleet.size(kStart, true) == 6);
+    fleet.sizeTold(6, kStart);
+    CHECK(fleet.size(kStart, false) == 6);
+    CHECK(fleet.following(kStart + std::chrono::seconds(6)) == 1);
+}
+
+TEST_CASE("a registry reading starts with all pages and follows the revision of the first")
+{
+    RegistrySync sync(Millis(1000));
+    sync.restart(kStart);
+    RegistryResult page;
+    page.outcome = RegistryOutcome::Done;
+    page.revision = 10;
+    page.hasMore = true;
+    page.lastKey = "k5";
+    sync.finished(page, kStart);
+    CHECK(sync.nextCall().afterKey == "k5");
+    page.revision = 12;
+    page.hasMore = false;
+    sync.finished(page, kStart);
+    CHECK(sync.hasCompletedReading());
+    CHECK(sync.nextCall().kind == RegistryCall::Kind::Changes);
+    CHECK(sync.nextCall().afterRevision == 10);
+    CHECK(sync.nextCallAt() == kStart + Millis(1000));
+}
+
+TEST_CASE("lost history and a reading that hears nothing lead to a full reading at once")
+{
+    for (const bool isLost : { true, false }) {
+        RegistrySync sync(Millis(1000));
+        sync.restart(kStart);
+        RegistryResult result;
+        result.outcome = RegistryOutcome::Done;
+        result.revision = 10;
+        sync.finished(result, kStart);
+        result.outcome = isLost ? RegistryOutcome::HistoryLost : RegistryOutcome::Done;
+        result.entries = 0;
+        sync.finished(result, kStart + Millis(5));
+        CHECK(sync.nextCall().kind == RegistryCall::Kind::Page);
+        CHECK(sync.nextCallAt() == kStart + Millis(5));
+    }
+}
+
+TEST_CASE("failures space the calls out, and the first success tells that the registry is back")
+{
+    RegistrySync sync(Millis(1000));
+    sync.restart(kStart);
+    RegistryResult failed;
+    TimePoint now = kStart;
+    for (int i = 0; i < 8; ++i) {
+        sync.finished(failed, now);
+        CHECK(sync.isAway());
+        CHECK(sync.nextCallAt() > now);
+        CHECK(sync.nextCallAt() - now <= Millis(1000));
+        now = sync.nextCallAt();
+    }
+    RegistryResult page;
+    page.outcome = RegistryOutcome::Done;
+    sync.finished(page, now);
+    CHECK(sync.hasReturned());
+    CHECK_FALSE(sync.isAway());
+}
+
+TEST_CASE("a replica that started again under its id begins anew; older reports change nothing")
+{
+    int left = 0;
+    ReplicaDirectory directory([&left](const ReplicaPtr&) { ++left; });
+    ReplicaEntry entry;
+    entry.id = "a";
+    entry.service = "s";
+    entry.host = "10.0.0.1";
+    entry.port = 1;
+    entry.startedAt = 100;
+    entry.sequence = 9;
+    directory.apply(entry, kStart);
+    const ReplicaPtr first = directory.find("a");
+    first->isRefuted = true;
+    entry.startedAt = 200;
+    entry.sequence = 1;
+    directory.apply(entry, kStart);
+    const ReplicaPtr second = directory.find("a");
+    CHECK(first != second);
+    CHECK_FALSE(second->isRefuted);
+    CHECK(left == 1);
+    entry.startedAt = 100;
+    entry.sequence = 10;
+    entry.state = ReplicaState::Draining;
+    directory.apply(entry, kStart);
+    CHECK(directory.find("a")->takesWork());
+}
+
+TEST_CASE("removals seen as the registry returns wait until entries had time to come back")
+{
+    ReplicaDirectory directory([](const ReplicaPtr&) {});
+    ReplicaEntry entry;
+    entry.service = "s";
+    for (const char* id : { "stays", "goes" }) {
+        entry.id = id;
+        directory.apply(entry, kStart);
+    }
+    directory.deferRemovals(kStart + Millis(2000));
+    directory.remove("stays", kStart);
+    directory.remove("goes", kStart);
+    CHECK(directory.size() == 2);
+    entry.id = "stays";
+    entry.sequence = 1;
+    directory.apply(entry, kStart + Millis(1500));
+    directory.tick(kStart + Millis(2000));
+    CHECK(directory.find("stays"));
+    CHECK_FALSE(directory.find("goes"));
+}
+
+TEST_CASE("where connections are scarce, instances use few replicas, evenly")
+{
+    std::vector<ReplicaPtr> all;
+    ReplicaDirectory directory([](const ReplicaPtr&) {});
+    for (int i = 0; i < 3; ++i) {
+        ReplicaEntry entry;
+        entry.id = "r" + std::to_string(i);
+        entry.service = "s";
+        entry.zone = "z" + std::to_string(i);
+        directory.apply(entry, kStart);
+    }
+    std::map<std::string, int> users;
+    constexpr uint32_t kInstances = 86;
+    for (uint32_t i = 0; i < kInstances; ++i) {
+        const SubsetRule rule { "instance-" + std::to_string(i), "z" + std::to_string(i % 4), kInstances + kInstances / 10 + 2 };
+        const std::vector<ReplicaPtr> used = usedReplicas(directory.of("s"), 65, rule);
+        CHECK(used.size() == 2);
+        for (const ReplicaPtr& replica : used)
+            ++users[replica->entry.id];
+    }
+    for (const auto& [id, count] : users) {
+        INFO(id << " is used by " << count);
+        CHECK(count <= 65);
+    }
+    const SubsetRule few { "one", "z0", 8 };
+    CHECK(usedReplicas(directory.of("s"), 26, few).size() == 3);
+    CHECK(connectionShare(26, 10) == 2);
+}
--- a/tests/support/routing_bed.h
+++ b/tests/support/routing_bed.h
@@ -61,6 +61,7 @@
 
 class RoutingBed final : public AnswerSinkI {
 public:
+    /// `repeatBurst`: repeats in hand for each service; below 1 there are none.
     explicit RoutingBed(double repeatBurst = 100)
         : directory([](const ReplicaPtr&) {})
     {
@@ -70,9 +71,11 @@
         init.answers = this;
         init.directory = &directory;
         init.zone = "north";
-        init.repeatBurst = repeatBurst;
+        init.repeatSlack = repeatBurst * kSlackPerBurst;
+        init.repeatRatio = repeatBurst < 1 ? 0 : init.repeatRatio;
         dispatcher = std::make_unique<Dispatcher>(init);
         transport.dispatcher = dispatcher.get();
+        dispatcher->setFleetSize(1);
     }
 
     void answer(uint64_t request, RouteAnswer answer, const RequestReport& report) override
@@ -185,6 +188,9 @@
     const RecordedAnswer& only(uint64_t request) { return answers.at(request).at(0); }
     bool isAnswered(uint64_t request) const { return answers.contains(request); }
 
+    /// One instance, those that may join it, and nothing else.
+    static constexpr double kSlackPerBurst = 3;
+
     TestClock clock;
     TestTransport transport;
     ReplicaDirectory directory;
