--- a/src/connection/replica_health.cpp
+++ b/src/connection/replica_health.cpp
@@ -37,10 +37,7 @@
     const auto found = std::find_if(calls_.begin(), calls_.end(), [call](const OpenCall& open) { return open.id == call; });
     if (found == calls_.end())
         return;
-    const double usual = static_cast<double>(std::max<int64_t>(found->expected.count(), 1));
-    const double taken = static_cast<double>(std::chrono::duration_cast<Micros>(now - found->sentAt).count());
-    slowness_ = slowness(now) * (1 - kSampleWeight) + taken / usual * kSampleWeight;
-    slownessAt_ = now;
+    recordDuration(found->sentAt, found->expected, now);
     recordEnd(false, now);
     lastAnswer_ = now;
     faultsInRow_ = 0;
@@ -58,6 +55,14 @@
     recordFault(now);
 }
 
+void ReplicaHealth::recordDuration(TimePoint sentAt, Micros expected, TimePoint now)
+{
+    const double usual = static_cast<double>(std::max<int64_t>(expected.count(), 1));
+    const double taken = static_cast<double>(std::chrono::duration_cast<Micros>(now - sentAt).count());
+    slowness_ = slowness(now) * (1 - kSampleWeight) + taken / usual * kSampleWeight;
+    slownessAt_ = now;
+}
+
 void ReplicaHealth::recordEnd(bool isLoss, TimePoint now)
 {
     lossRate_ = lossRate(now) * (1 - kLossWeight) + (isLoss ? kLossWeight : 0);
--- a/src/connection/replica_health.h
+++ b/src/connection/replica_health.h
@@ -51,6 +51,7 @@
 
     void recordFault(TimePoint now);
     void recordEnd(bool isLoss, TimePoint now);
+    void recordDuration(TimePoint sentAt, Micros expected, TimePoint now);
 
     std::vector<OpenCall> calls_;
     double slowness_ = 1.0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,7 +195,7 @@
     checkSuspension();
     directory_.tick(clock_.now());
     chooseSource();
-    dispatcher_->setFleetSize(fleet_.size(clock_.now(), isReader_));
+    updateFleetSize();
     callers_->sweep();
     peerServer_->tellNews();
     peerServer_->sweep();
@@ -207,6 +207,16 @@
     log_.writeOut();
 }
 
+void Gateway::updateFleetSize()
+{
+    const uint32_t size = fleet_.size(clock_.now(), isReader_);
+    if (size == fleetSize_)
+        return;
+    log_.out().info("event=fleet_size instances={} before={} reader={} following={}", size, fleetSize_, isReader_, fleet_.following(clock_.now()));
+    fleetSize_ = size;
+    dispatcher_->setFleetSize(size);
+}
+
 void Gateway::updateReadiness()
 {
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,6 +66,7 @@
 
     bool isReady() const;
     void updateReadiness();
+    void updateFleetSize();
     HttpResponse readinessPage(const HttpRequest& request) const;
     HttpResponse metricsPage();
     HttpResponse statusPage() const;
@@ -90,6 +91,7 @@
     ChangeLog changes_;
     FleetSize fleet_;
     bool isReader_ = false;
+    uint32_t fleetSize_ = 0;
     std::unique_ptr<SourceChoice> sources_;
     std::unique_ptr<PeerServer> peerServer_;
     std::unique_ptr<PeerFollower> follower_;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    /// Time for which a follower's call is held; with the slack below it bounds how long a reader that
-    /// has frozen goes unnoticed.
-    constexpr Millis kHold { 1000 };
+    /// Time for which a follower's call is held. Added to a reader's pause it stays below the age at which
+    /// a follower reads for itself; with the slack below it bounds how long a frozen reader goes unnoticed.
+    constexpr Millis kHold { 600 };
     constexpr Millis kHoldSlack { 700 };
     constexpr Millis kConnectTimeout { 300 };
     /// Time between two calls of a reader to another one.
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -94,6 +94,15 @@
     pump(link);
 }
 
+bool ReplicaLinks::isConnected(const ReplicaPtr& replica) const
+{
+    const auto found = links_.find(replica.get());
+    if (found == links_.end())
+        return false;
+    const auto& channels = found->second->channels;
+    return std::any_of(channels.begin(), channels.end(), [](const auto& channel) { return channel->isIdle || channel->call != 0; });
+}
+
 void ReplicaLinks::cancelCall(uint64_t call)
 {
     const auto found = calls_.find(call);
--- a/src/gateway/replica_links.h
+++ b/src/gateway/replica_links.h
@@ -32,6 +32,7 @@
     /// Receives the reports; set once before the first call.
     void setDispatcher(Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
     void startCall(uint64_t call, const ReplicaPtr& replica, const RequestPtr& request, Millis timeLeft, bool needsLiveConnection) override;
+    bool isConnected(const ReplicaPtr& replica) const override;
     void cancelCall(uint64_t call) override;
 
     /// The replica takes no more work: idle connections end, waiting calls go elsewhere.
--- a/src/process/fleet_size.h
+++ b/src/process/fleet_size.h
@@ -51,8 +51,8 @@
     }
 
 private:
-    /// A follower asks every second or so.
-    static constexpr Millis kFollowerLife { 5000 };
+    /// A follower asks every second at least; one that has moved to another reader is soon forgotten.
+    static constexpr Millis kFollowerLife { 2000 };
     static constexpr Millis kReaderLife { 30000 };
 
     uint32_t assumed_;
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -27,6 +27,8 @@
     /// Queues a call. `needsLiveConnection`: an idle connection may only be used when it was used a
     /// moment ago, since a byte sent on a dead one cannot be taken back.
     virtual void startCall(uint64_t call, const ReplicaPtr& replica, const RequestPtr& request, Millis timeLeft, bool needsLiveConnection) = 0;
+    /// True when a connection to the replica is there, even if every one is in use.
+    virtual bool isConnected(const ReplicaPtr& replica) const = 0;
     /// Ends a call without a report: the replica is to stop working on it.
     virtual void cancelCall(uint64_t call) = 0;
 };
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -131,7 +131,8 @@
     Part& part = open.parts[index];
     const ReplicaPtr replica = part.tries < kMaxTries ? chooseFor(open, part, ChoiceScope::First) : nullptr;
     const Call& call = *calls_.at(id);
-    call.replica->health.connectFailed(clock_.now());
+    if (!init_.transport->isConnected(call.replica))
+        call.replica->health.connectFailed(clock_.now());
     if (!replica)
         return false;
     note(open, "no_connection", *part.service, call.replica.get());
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -326,6 +326,7 @@
             if (bed.transport.calls.size() > first + 1 && bed.transport.calls.back().isOpen && !bed.isAnswered(request))
                 bed.reply(bed.transport.calls.size() - 1, RoutingBed::success("sig2"));
         }
+        bed.replyToAllBut({ "s0-a" });
         bed.pass(Millis(110));
         stuck += isStuck ? 1 : 0;
         stuckMissed += isStuck && bed.only(request).answer.status != 200 ? 1 : 0;
@@ -333,3 +334,19 @@
     INFO("stuck " << stuck << ", missed " << stuckMissed << ", repeats " << bed.dispatcher->stats().repeats);
     CHECK(stuckMissed == 0);
 }
+
+TEST_CASE("a replica whose connections are merely in use is not taken for one out of reach")
+{
+    RoutingBed bed;
+    bed.useStandardRoutes(1, RepeatPolicy::Idempotent);
+    bed.transport.unconnected["card-a"] = true;
+    bed.transport.busy["card-a"] = true;
+    for (uint64_t request = 1; request <= 5; ++request) {
+        bed.directory.find("card-b")->health = {};
+        bed.start(request, "/one/x");
+        bed.pass(Millis(60));
+        bed.replyToAllBut({});
+        bed.pass(Millis(100));
+    }
+    CHECK_FALSE(bed.directory.find("card-a")->health.isUnreachable());
+}
--- a/tests/support/routing_bed.h
+++ b/tests/support/routing_bed.h
@@ -38,6 +38,7 @@
         if (!unconnected.contains(replica->entry.id))
             dispatcher->callSent(call);
     }
+    bool isConnected(const ReplicaPtr& replica) const override { return busy.contains(replica->entry.id); }
     void cancelCall(uint64_t call) override
     {
         for (RecordedCall& recorded : calls) {
@@ -52,6 +53,8 @@
     std::vector<RecordedCall> calls;
     /// Replicas to which no connection comes about.
     std::map<std::string, bool> unconnected;
+    /// Replicas whose connections are there but in use.
+    std::map<std::string, bool> busy;
 };
 
 struct RecordedAnswer {
