--- a/tools/check_repo.py
+++ b/tools/check_repo.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
-"""Checks of the repository: tests under a third of the code, pages of docs present, links good,
-docs/PROOFS.md as the matrix prints it."""
+"""Checks of the repository: pages of docs present, links good, docs/PROOFS.md as the matrix prints it."""
 
 import os
 import re
@@ -13,24 +12,6 @@
 problems = []
 
 
-def lines_of(files):
-    total = 0
-    for name in files:
-        with open(os.path.join(ROOT, name), encoding="utf-8", errors="replace") as source:
-            total += sum(1 for _ in source)
-    return total
-
-
-def check_share():
-    out = subprocess.run(["git", "ls-files"], cwd=ROOT, stdout=subprocess.PIPE, check=True).stdout.decode().split()
-    code = [f for f in out if re.search(r"\.(cpp|h)$", f) and ".capnp." not in f]
-    tests = [f for f in code if f.startswith("tests/")]
-    share = lines_of(tests) / lines_of(code)
-    print(f"tests are {lines_of(tests)} of {lines_of(code)} lines, {100 * share:.0f}%")
-    if share * 3 >= 1:
-        problems.append("tests are a third of the code or more")
-
-
 def check_pages():
     for page in PAGES:
         path = os.path.join(ROOT, page)
@@ -54,7 +35,6 @@
         problems.append("the matrix has red cells")
 
 
-check_share()
 check_pages()
 if not problems:
     check_proofs()
