Gateway as real processes: stand-ins of a platform with a registry, thirteen process tests

Change: standins/registry_platform.py (store with range, watch, history and refusals; replicas that shed, fall silent, leave and start again) and tests/gateway_process_test.py with SIGTERM, SIGKILL, SIGSTOP and SIGCONT. The status page names the source and age of what the instance knows.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <random>
 
 namespace limpettrestle {
@@ -506,11 +507,11 @@
 HttpResponse Gateway::statusPage() const
 {
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
-    return textResponse(200,
-        fmt::format(R"({{"name":"{}","zone":"{}","ready":{},"leaving":{},"config_version":{},"registry_revision":{},"registry_away":{},"replicas":{},"open_requests":{}}})",
-            settings_.name, settings_.zone, isReady(), isLeaving_, table ? table->version() : 0, registry_->sync().revision(), registry_->sync().isAway(),
-            directory_.size(), dispatcher_->openRequests())
-            + "\n");
+    const nlohmann::json status = { { "name", settings_.name }, { "zone", settings_.zone }, { "ready", isReady() }, { "leaving", isLeaving_ },
+        { "cut_off", reachability_.isCutOff() }, { "config_version", table ? table->version() : 0 }, { "replicas", directory_.size() },
+        { "knowledge_age_ms", sources_->age(clock_.now()).count() }, { "reads_registry", registry_->isActive() }, { "registry_calls", registry_->calls() },
+        { "instances", fleetSize_ }, { "reader", isReader_ }, { "open_requests", dispatcher_->openRequests() } };
+    return textResponse(200, status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
 }
 
 } // namespace limpettrestle
--- /dev/null
+++ b/standins/registry_platform.py
@@ -0,0 +1,190 @@
+#!/usr/bin/env python3
+"""Stand-ins for a platform with a registry: the store (range and watch) and replicas, faulty on demand.
+
+Used by tests/gateway_process_test.py; everything listens on the loopback.
+"""
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+HOST = "127.0.0.1"
+PAGE = 20
+
+
+class QuietServer(ThreadingHTTPServer):
+    """A caller that ends its connection early is no error here."""
+
+    def handle_error(self, request, client_address):
+        pass
+
+
+class Server:
+    """HTTP server in a thread of its own."""
+
+    def __init__(self, handler, port=0):
+        self.http = QuietServer((HOST, port), handler)
+        self.http.daemon_threads = True
+        self.port = self.http.server_address[1]
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class Store:
+    """Items with revisions and a history. `fault`: None, or a status answered to every call."""
+
+    def __init__(self):
+        self.items = {}
+        self.history = []
+        self.revision = 1
+        self.fault = None
+        self.calls = 0
+        self.changed = threading.Condition()
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                store.calls += 1
+                status, body = store.answer(self.path)
+                data = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+        self.server = Server(Handler)
+
+    def write(self, key, value):
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.revision += 1
+            item = {"key": key, "value": base64.b64encode(text).decode(), "revision": self.revision, "created": self.revision, "lease": 0}
+            self.items[key] = item
+            self.history.append(item)
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.history.append({"key": key, "revision": self.revision, "deleted": True})
+            self.changed.notify_all()
+
+    def forget_history(self):
+        with self.changed:
+            self.history = []
+            self.oldest = self.revision
+
+    oldest = 0
+
+    def answer(self, path):
+        if self.fault:
+            return self.fault, {}
+        url = urlparse(path)
+        query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
+        prefix = query.get("prefix", "")
+        if url.path == "/v1/kv-range":
+            with self.changed:
+                keys = sorted(k for k in self.items if k.startswith(prefix) and k > query.get("after", ""))
+                return 200, {"items": [self.items[k] for k in keys[:PAGE]], "has_more": len(keys) > PAGE, "store_revision": self.revision}
+        if url.path == "/v1/kv-watch":
+            after = int(query["after"])
+            limit = time.monotonic() + int(query["wait_ms"]) / 1000
+            with self.changed:
+                if after < self.oldest:
+                    return 410, {}
+                while True:
+                    events = [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
+                    left = limit - time.monotonic()
+                    if events or left <= 0:
+                        return 200, {"events": events, "store_revision": self.revision}
+                    self.changed.wait(left)
+        return 404, {}
+
+
+class Replica:
+    """One replica. `delay`: seconds of work. `mode`: ok, shed, silent."""
+
+    def __init__(self, store, service, number, zone="z1", records=(), delay=0.0):
+        self.store, self.service, self.zone = store, service, zone
+        self.id = f"i-{service}-{number}"
+        self.records = list(records)
+        self.delay, self.mode, self.runs, self.seq, self.state = delay, "ok", [], 0, "ready"
+        self.born = int(time.time() * 1000)
+        replica = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                replica.serve(self)
+
+            do_POST = do_GET
+
+        self.server = Server(Handler)
+        self.report()
+
+    def report(self):
+        self.seq += 1
+        self.store.write(f"servers/{self.id}", {"backend": self.service, "address": f"{HOST}:{self.server.port}", "zone": self.zone, "version": "v1",
+                                                "capacity": 2, "state": self.state, "warmup_left_ms": 0, "seq": self.seq, "born": self.born})
+
+    def drain(self):
+        self.state = "draining"
+        self.report()
+
+    def serve(self, request):
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", ""), "X-Server-Load": "0,0,2"}
+        status, body = 200, b""
+        if request.headers.get("X-Expect-Instance") not in (None, self.id):
+            status, headers["X-Instance-Id"] = 421, self.id
+        elif self.mode == "shed":
+            status, headers["X-Not-Executed"] = 503, "1"
+        else:
+            self.runs.append((time.monotonic(), request.headers.get("X-Request-Id"), request.path, request.headers.get("X-Deadline-Ms")))
+            if self.mode == "silent":
+                time.sleep(5)
+                return
+            time.sleep(self.delay)
+            headers["X-Server-Stamp"] = f"{self.id}.{request.headers.get('X-Request-Id')}"
+            body = b"".join(self.records) if self.records else f"{request.command} {request.path}".encode()
+        request.send_response(status)
+        for name, value in headers.items():
+            request.send_header(name, value)
+        request.send_header("Content-Length", str(len(body)))
+        request.end_headers()
+        request.wfile.write(body)
+
+
+class Heartbeats:
+    """Reports of all replicas, as often as told."""
+
+    def __init__(self, replicas, period=0.3):
+        self.replicas, self.period, self.stopping = replicas, period, False
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while not self.stopping:
+            time.sleep(self.period)
+            for replica in list(self.replicas):
+                if not self.store_is_away(replica) and f"servers/{replica.id}" in replica.store.items:
+                    replica.report()
+
+    @staticmethod
+    def store_is_away(replica):
+        return replica.store.fault is not None
--- /dev/null
+++ b/tests/gateway_process_test.py
@@ -0,0 +1,334 @@
+#!/usr/bin/env python3
+"""The gateway as real processes against the stand-ins of a platform with a registry, with real signals.
+
+Usage: tests/gateway_process_test.py [NAME...]
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import traceback
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "standins"))
+from registry_platform import HOST, Heartbeats, Replica, Store  # noqa: E402
+
+BUILD = os.environ.get("LIMPETTRESTLE_BUILD", os.path.join(ROOT, "build"))
+SHARDS = 6
+WAIT = 10.0
+
+
+def require(condition, what):
+    if not condition:
+        raise AssertionError(what)
+
+
+def wait_for(condition, what, limit=WAIT):
+    end = time.monotonic() + limit
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError("not within %.0f s: %s" % (limit, what))
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for entry in sockets:
+        entry.bind((HOST, 0))
+    ports = [entry.getsockname()[1] for entry in sockets]
+    for entry in sockets:
+        entry.close()
+    return ports
+
+
+def record(first, number):
+    return bytes([first]) + b"%015d" % number
+
+
+class Gateway:
+    def __init__(self, bed, number, seeds):
+        self.bed, self.number = bed, number
+        self.caller, self.ready, self.peer, self.metrics = bed.ports[number]
+        self.file = os.path.join(bed.folder, f"gateway-{number}.json")
+        self.log = os.path.join(bed.folder, f"gateway-{number}.log")
+        settings = {"name": f"n{number}", "zone": "z1", "caller": f"{HOST}:{self.caller}", "readiness": f"{HOST}:{self.ready}",
+                    "peer": f"{HOST}:{self.peer}", "metrics": f"{HOST}:{self.metrics}", "seeds": seeds,
+                    "registry": {"address": f"{HOST}:{bed.store.server.port}"}, "reaction": {"drain_ms": 1000, "config_ms": 1000},
+                    "repeats": {"ratio": 0.2, "slack": 60}, "shutdown": {"grace_ms": 6000}}
+        with open(self.file, "w", encoding="utf-8") as out:
+            json.dump(settings, out)
+        self.start()
+
+    def start(self):
+        with open(self.log, "ab") as out:
+            self.process = subprocess.Popen([os.path.join(BUILD, "limpettrestle-gateway"), "--config", self.file], stdout=out, stderr=out)
+
+    def is_ready(self):
+        try:
+            return self.get(self.ready, "/v1/readyz")[0] == 200
+        except OSError:
+            return False
+
+    @staticmethod
+    def get(port, path, headers=None, method="GET", body=None):
+        connection = http.client.HTTPConnection(HOST, port, timeout=10)
+        try:
+            connection.request(method, path, body=body, headers=headers or {})
+            response = connection.getresponse()
+            return response.status, dict(response.getheaders()), response.read()
+        finally:
+            connection.close()
+
+    def request(self, path, request_id, method="GET", body=None, deadline=2000):
+        headers = {"Host": "app.example", "X-Request-Id": request_id, "X-Deadline-Ms": str(deadline)}
+        return self.get(self.caller, path, headers, method, body)
+
+    def lines(self, event):
+        with open(self.log, encoding="utf-8") as text:
+            return [line for line in text if f"event={event} " in line]
+
+
+class Bed:
+    def __init__(self, gateways=3, readers=2):
+        self.folder = tempfile.mkdtemp(prefix="gateway-")
+        self.store = Store()
+        self.replicas = []
+        for shard in range(SHARDS):
+            for copy in range(2):
+                self.replicas.append(Replica(self.store, f"s{shard}", copy, records=[record(shard + 1, n) for n in range(3)]))
+        for number in range(2):
+            self.replicas.append(Replica(self.store, "card", number))
+        self.heartbeats = Heartbeats(self.replicas)
+        self.version = 0
+        self.configure()
+        self.ports = [free_ports(4) for _ in range(gateways)]
+        seeds = [f"{HOST}:{self.ports[n][2]}" for n in range(readers)]
+        self.gateways = [Gateway(self, n, seeds) for n in range(gateways)]
+        for gateway in self.gateways:
+            wait_for(gateway.is_ready, f"n{gateway.number} ready")
+
+    def configure(self, extra=()):
+        self.version += 3
+        routes = [{"name": "all", "hostname": "app.example", "prefix": "/all/", "route_type": "idempotent", "timeout_ms": 1500, "target_latency_ms": 300,
+                   "priority": 1, "gather": [f"s{n}" for n in range(SHARDS)], "max_attempts": 2, "top_k": 4, "min_coverage": 0.6},
+                  {"name": "card", "hostname": "app.example", "prefix": "/card/", "route_type": "non_idempotent", "timeout_ms": 2000,
+                   "target_latency_ms": 300, "priority": 2, "backend": "card", "max_attempts": 2}]
+        services = [{"name": name, "health_path": "/h", "max_conns": 26, "protocol": "h1", "tls": False} for name in [f"s{n}" for n in range(SHARDS)] + ["card"]]
+        self.store.write("op/config", {"version": self.version, "routes": routes + list(extra), "backends": services,
+                                       "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+
+    def close(self):
+        for gateway in self.gateways:
+            gateway.process.kill()
+            gateway.process.wait()
+        self.heartbeats.stopping = True
+        self.store.server.close()
+        for replica in self.replicas:
+            replica.server.close()
+
+
+def whole_path(bed):
+    for number, gateway in enumerate(bed.gateways):
+        status, headers, body = gateway.request("/all/q?x=1", f"g{number}")
+        require(status == 200, f"search: {status} {body}")
+        require(len(headers["X-Part-Stamps"].split(",")) == SHARDS, headers)
+        require(headers.get("X-Missing-Parts", "0") == "0", headers)
+        require(body == record(6, 2) + record(6, 1) + record(6, 0) + record(5, 2), body)
+        status, headers, body = gateway.request("/card/7", f"c{number}", "POST", b"abc")
+        require((status, body) == (200, b"POST /card/7"), (status, body))
+        require(headers["X-Server-Stamp"].endswith(f".c{number}"), headers)
+        require(gateway.request("/none/", "n")[0] == 404, "unknown path")
+    runs = [run for replica in bed.replicas if replica.service == "card" for run in replica.runs]
+    require(len(runs) == len(bed.gateways), "each submission ran once")
+
+
+def followers_learn_from_readers(bed):
+    calls = bed.store.calls
+    time.sleep(2)
+    follower = bed.gateways[2]
+    require(json.loads(Gateway.get(follower.metrics, "/status")[2])["registry_calls"] <= 4, "a follower leaves the store alone")
+    require(bed.store.calls > calls, "readers read")
+    wait_for(lambda: json.loads(Gateway.get(follower.metrics, "/status")[2])["instances"] == 3, "size of the fleet")
+
+
+def new_configuration_everywhere(bed):
+    bed.configure([{"name": "new", "hostname": "app.example", "prefix": "/new/", "route_type": "idempotent", "timeout_ms": 900, "target_latency_ms": 90, "backend": "card"}])
+    for gateway in bed.gateways:
+        wait_for(lambda g=gateway: g.request("/new/x", "x")[0] == 200, "new route", 2)
+    newest = bed.version
+    bed.version -= 6
+    bed.configure()
+    time.sleep(1.5)
+    for gateway in bed.gateways:
+        require(gateway.request("/new/x", "x")[0] == 200, f"version {newest} stays in force")
+
+
+def unreadable_entries_change_nothing(bed):
+    for key, value in (("op/config", b"\xff"), ("op/config", b"{}"), ("servers/i-odd", b"[]"), ("servers/i-s0-0x", {"state": "ready"})):
+        bed.store.write(key, value)
+    wait_for(lambda: bed.gateways[0].lines("registry_item_refused"), "refused items are logged")
+    for gateway in bed.gateways:
+        require(gateway.request("/all/q", "u")[0] == 200, "still serving")
+
+
+def draining_replica_gets_no_more(bed):
+    leaving = bed.replicas[0]
+    leaving.drain()
+    time.sleep(1.0)
+    before = len(leaving.runs)
+    for number in range(30):
+        status, headers, _ = bed.gateways[number % 3].request("/all/q", f"d{number}")
+        require(status == 200 and headers.get("X-Missing-Parts", "0") == "0", "complete without it")
+    require(len(leaving.runs) == before, "no request after the reaction time")
+
+
+def store_away(bed):
+    bed.store.fault = 503
+    time.sleep(1.5)
+    for gateway in bed.gateways:
+        require(gateway.request("/all/q", "a")[0] == 200, "serves without the store")
+        require(gateway.is_ready(), "stays ready")
+    restarted = bed.gateways[2]
+    restarted.process.kill()
+    restarted.process.wait()
+    restarted.start()
+    wait_for(restarted.is_ready, "a start without the store learns from a reader", 5)
+    require(restarted.request("/all/q", "b")[0] == 200, "serves what it learnt")
+    bed.store.fault = None
+    wait_for(lambda: bed.gateways[0].lines("dependency_regained"), "the store is back")
+
+
+def lost_history(bed):
+    bed.store.forget_history()
+    bed.store.remove("servers/" + bed.replicas[2].id)
+    bed.store.forget_history()
+    time.sleep(1.2)
+    before = len(bed.replicas[2].runs)
+    for number in range(10):
+        bed.gateways[number % 3].request("/all/q", f"h{number}")
+    require(len(bed.replicas[2].runs) == before, "a removal in the gap is seen")
+
+
+def silent_replica_is_passed_over(bed):
+    bed.replicas[4].mode = "silent"
+    for number in range(20):
+        status, _, _ = bed.gateways[0].request("/all/q", f"s{number}")
+        require(status == 200, "answered in spite of a silent replica")
+
+
+def shed_submission_goes_on(bed):
+    bed.replicas[-1].mode = "shed"
+    for number in range(10):
+        require(bed.gateways[0].request("/card/x", f"p{number}", "POST", b"x")[0] == 200, "the other replica takes it")
+    bed.replicas[-2].mode = "shed"
+    status, headers, _ = bed.gateways[0].request("/card/x", "p-all", "POST", b"x")
+    require(status == 503 and "Retry-After" in headers, f"refused with when to come back: {status}")
+
+
+def leaving_caller_ends_the_work(bed):
+    bed.replicas[-1].delay = bed.replicas[-2].delay = 1.0
+    connection = http.client.HTTPConnection(HOST, bed.gateways[0].caller)
+    connection.request("POST", "/card/x", b"x", {"Host": "app.example", "X-Request-Id": "gone", "X-Deadline-Ms": "1500"})
+    time.sleep(0.2)
+    connection.close()
+    wait_for(lambda: b"limpettrestle_callers_left_total 1" in Gateway.get(bed.gateways[0].metrics, "/metrics")[2], "the caller's leaving is seen", 2)
+
+
+def shutdown_under_load(bed):
+    leaving = bed.gateways[1]
+    results, stopping = [], []
+
+    def load():
+        connection = http.client.HTTPConnection(HOST, leaving.caller, timeout=5)
+        number = 0
+        while not stopping:
+            number += 1
+            try:
+                connection.request("GET", "/all/q", headers={"Host": "app.example", "X-Request-Id": f"t{number}", "X-Deadline-Ms": "2000"})
+                response = connection.getresponse()
+                response.read()
+                results.append(response.status)
+                if response.getheader("Connection") == "close":
+                    return
+            except OSError as error:
+                results.append(error)
+                return
+
+    threads = [threading.Thread(target=load) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    leaving.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: not leaving.is_ready(), "not ready at once", 1)
+    for thread in threads:
+        thread.join(5)
+    require(all(status == 200 for status in results), [r for r in results if r != 200][:3])
+    require(leaving.process.wait(7) == 0, "ends by itself within the grace")
+    require(leaving.lines("stopped"), "says so")
+
+
+def suspended_instance_comes_back(bed):
+    gateway = bed.gateways[2]
+    gateway.process.send_signal(signal.SIGSTOP)
+    time.sleep(2)
+    bed.replicas[0].drain()
+    time.sleep(1)
+    gateway.process.send_signal(signal.SIGCONT)
+    wait_for(lambda: gateway.lines("woke_late"), "the gap is seen", 3)
+    time.sleep(1.2)
+    before = len(bed.replicas[0].runs)
+    for number in range(10):
+        require(gateway.request("/all/q", f"w{number}")[0] == 200, "serves again")
+    require(len(bed.replicas[0].runs) == before, "and knows who left meanwhile")
+
+
+def bad_requests(bed):
+    port = bed.gateways[0].caller
+    for text, expected in ((b"GARBAGE\r\n\r\n", b" 400 "), (b"GET /all/q HTTP/1.1\r\n\r\n", b" 400 "),
+                           (b"POST /card/x HTTP/1.1\r\nHost: app.example\r\nContent-Length: 99999999\r\n\r\n", b" 413 "),
+                           (b"GET /all/q HTTP/1.1\r\nHost: app.example\r\nX: " + b"y" * 20000 + b"\r\n\r\n", b" 431 "),
+                           (b"POST /card/x HTTP/1.1\r\nHost: app.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", b" 400 ")):
+        with socket.create_connection((HOST, port), timeout=5) as raw:
+            raw.sendall(text)
+            require(expected in raw.recv(4096), f"{text[:40]} -> {expected}")
+    require(bed.gateways[0].request("/all/q", "after")[0] == 200, "others are served")
+
+
+TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
+         lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load,
+         suspended_instance_comes_back, bad_requests]
+
+
+def run(test):
+    bed = None
+    try:
+        bed = Bed()
+        test(bed)
+        print(f"ok   {test.__name__}", flush=True)
+        return True
+    except Exception:  # pylint: disable=broad-except
+        print(f"FAIL {test.__name__}", flush=True)
+        traceback.print_exc()
+        return False
+    finally:
+        if bed:
+            bed.close()
+
+
+def main():
+    chosen = [test for test in TESTS if not sys.argv[1:] or test.__name__ in sys.argv[1:]]
+    passed = sum(run(test) for test in chosen)
+    print(f"{passed} passed, {len(chosen) - passed} failed")
+    return 0 if passed == len(chosen) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
