Quick starts, no kept connections to instances that are not ready, cut answers read on, less work a sub-request

Changes: starts are weighed each 50 ms and wait 250 ms at most; answers of an instance that is not ready end their connection; a full answer is followed by the next call at once and counts as fresh only when nothing is left; counters instead of counts, one common head a request, a look each 900 ms; silence counts like a failed connection. Tests first or with it: source_test (cut answers, starts), reachability_test (silence), dispatcher_chaos_test (300 seeded schedules: once at most, answered once, attempts), which found nothing.

--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -110,6 +110,8 @@
     /// End-to-end headers without those that the tier sets itself.
     std::vector<HeaderField> headers;
     std::string body;
+    /// Beginning of every call that is made for it, as the transport encodes it.
+    std::string commonHead;
     /// Time the caller waits; zero when it does not say.
     Millis patience { 0 };
     /// Part of the caller's time that is spent on the way to this instance and back.
--- a/src/connection/replica_health.cpp
+++ b/src/connection/replica_health.cpp
@@ -46,11 +46,12 @@
     calls_.erase(found);
 }
 
-void ReplicaHealth::callEnded(uint64_t call, TimePoint now, bool isFault)
+void ReplicaHealth::callEnded(uint64_t call, TimePoint now, CallEnd end)
 {
     std::erase_if(calls_, [call](const OpenCall& open) { return open.id == call; });
-    if (!isFault)
+    if (end == CallEnd::Unwanted)
         return;
+    lacksConnection_ |= end == CallEnd::Silent;
     recordEnd(true, now);
     recordFault(now);
 }
--- a/src/connection/replica_health.h
+++ b/src/connection/replica_health.h
@@ -8,14 +8,23 @@
 
 namespace limpettrestle {
 
+/// How a call ended without an answer that counts.
+enum class CallEnd : uint8_t {
+    /// Not wanted any more; says nothing about the replica.
+    Unwanted,
+    /// The replica did not take it, or its reply was lost or spoilt.
+    Failed,
+    /// Given up after an unusually long silence.
+    Silent,
+};
+
 class ReplicaHealth {
 public:
     /// A call was handed to the replica; `expected` is the usual time of such a call.
     void callSent(uint64_t call, TimePoint now, Micros expected);
     /// The call was answered. `expected` is the usual time of such a call.
     void callAnswered(uint64_t call, TimePoint now);
-    /// The call ended without an answer; `isFault` where that speaks against the replica.
-    void callEnded(uint64_t call, TimePoint now, bool isFault);
+    void callEnded(uint64_t call, TimePoint now, CallEnd end);
     /// A connection could not be made, or not in time.
     void connectFailed(TimePoint now);
     /// A connection was made.
@@ -27,7 +36,7 @@
     bool isSilent(TimePoint now) const;
     /// True while faults in a row keep new calls away.
     bool isAvoided(TimePoint now) const { return now < avoidUntil_ || isUnreachable(); }
-    /// No connection came about lately, more than once; cleared by a connection.
+    /// Nothing was heard lately, more than once, on old connections or new; cleared by a connection.
     bool isUnreachable() const { return lacksConnection_ && !isDoubtful(); }
     /// True when a connection should be tried to see whether the replica is back.
     bool isRetryDue(TimePoint now) const { return isUnreachable() && now >= avoidUntil_; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,8 @@
 
     /// Time between two rounds of house keeping: well below the shortest limit that it watches.
     constexpr Millis kHousePeriod { 250 };
+    /// The same while the instance knows nothing yet: each round may be the one in which it can serve.
+    constexpr Millis kStartPeriod { 50 };
     /// A gap of the loop beyond this means that the process was suspended or starved.
     constexpr Millis kSuspensionGap { 1000 };
     /// After a stop signal the balancer needs two missed checks, a second apart, to look elsewhere.
@@ -301,7 +303,9 @@
 
 void Gateway::onRequest(ExchangeId exchange, HttpRequest request)
 {
-    dispatcher_->start(exchange, platform::decodeRequest(std::move(request)));
+    ForwardedRequest forwarded = platform::decodeRequest(std::move(request));
+    forwarded.commonHead = platform::encodeCommonHead(forwarded);
+    dispatcher_->start(exchange, std::move(forwarded));
 }
 
 void Gateway::onCallerLeft(ExchangeId exchange)
@@ -319,14 +323,15 @@
         report.taken.count(), report.patience.count(), report.covered, report.parts, report.callsSent, report.repeats, report.isLate, report.trail);
     HttpResponse response = platform::encodeAnswer(std::move(answer), report.requestId);
     // A caller that stays on its connection would stay with an instance that cannot serve it.
-    response.isLast = reachability_.isCutOff();
+    response.isLast = !isReady();
     callers_->respond(request, std::move(response));
 }
 
 void Gateway::onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync)
 {
     const TimePoint now = clock_.now();
-    sources_->registryAnswered(now);
+    if (sync.isCaughtUp())
+        sources_->registryAnswered(now);
     if (sync.hasReturned())
         directory_.deferRemovals(now + kReturnTime);
     for (platform::StoreItem& item : items)
@@ -356,6 +361,7 @@
     if (!hasDirectory_)
         log_.out().info("event=registry_read direct={} replicas={}", registry_->isActive(), directory_.size());
     hasDirectory_ = true;
+    uv_timer_set_repeat(&houseTimer_, static_cast<uint64_t>(kHousePeriod.count()));
 }
 
 void Gateway::replicaLeft(const ReplicaPtr& replica)
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -20,6 +20,8 @@
     constexpr size_t kMaxChannels = 8;
     /// Connections opened ahead in one sweep, so that a start does not crowd out requests.
     constexpr int kOpenedPerSweep = 16;
+    /// Time between two looks for replicas without a connection.
+    constexpr Millis kOpenAheadPeriod { 900 };
 
 } // namespace
 
@@ -154,7 +156,8 @@
         else
             ++at;
     }
-    openAhead(now);
+    if (now >= nextOpenAheadAt_)
+        openAhead(now);
 }
 
 void ReplicaLinks::openAhead(TimePoint now)
@@ -162,34 +165,49 @@
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
     if (!table)
         return;
+    nextOpenAheadAt_ = now + kOpenAheadPeriod;
     int left = kOpenedPerSweep;
     for (const auto& [id, replica] : init_.directory->all()) {
-        if (left == 0)
+        if (left == 0) {
+            nextOpenAheadAt_ = now;
             return;
+        }
         if (!replica->takesWork() || table->maxConnections(replica->entry.service) == 0)
             continue;
-        const std::vector<ReplicaPtr> used = dispatcher_->usedReplicas(replica->entry.service);
-        const bool isUsed = std::find(used.begin(), used.end(), replica) != used.end();
-        const bool isNew = isUsed && !links_.contains(replica.get());
-        const bool isRetry = replica->health.isRetryDue(now) && linkTo(replica).channels.empty();
+        const bool isRetry = replica->health.isRetryDue(now);
+        const bool isNew = !links_.contains(replica.get()) && isUsed(replica);
         if (!isNew && !isRetry)
             continue;
+        // What is left of a silent replica's connections may be as dead as those that were given up.
+        closeIdle(linkTo(replica));
+        if (!linkTo(replica).channels.empty())
+            continue;
         openChannel(linkTo(replica));
         --left;
     }
 }
 
+bool ReplicaLinks::isUsed(const ReplicaPtr& replica) const
+{
+    const std::vector<ReplicaPtr> used = dispatcher_->usedReplicas(replica->entry.service);
+    return std::find(used.begin(), used.end(), replica) != used.end();
+}
+
 void ReplicaLinks::closeIdle()
 {
-    for (const auto& [key, link] : links_) {
-        std::vector<Channel*> idle;
-        for (const auto& channel : link->channels) {
-            if (channel->isIdle)
-                idle.push_back(channel.get());
-        }
-        for (Channel* channel : idle)
-            detach(*channel)->socket->close();
+    for (const auto& [key, link] : links_)
+        closeIdle(*link);
+}
+
+void ReplicaLinks::closeIdle(Link& link)
+{
+    std::vector<Channel*> idle;
+    for (const auto& channel : link.channels) {
+        if (channel->isIdle)
+            idle.push_back(channel.get());
     }
+    for (Channel* channel : idle)
+        detach(*channel)->socket->close();
 }
 
 ReplicaLinks::Link& ReplicaLinks::linkTo(const ReplicaPtr& replica)
@@ -261,7 +279,7 @@
 {
     PendingCall& pending = calls_.at(call);
     const Millis left = std::chrono::duration_cast<Millis>(pending.deadlineAt - clock_.now());
-    const std::string head = platform::encodeCallHead(*pending.request, channel.link.replica->entry.id, std::max(Millis(1), left));
+    const std::string head = platform::encodeCallHead(pending.request->commonHead, channel.link.replica->entry.id, std::max(Millis(1), left));
     if (!channel.socket->send(head, pending.request->body, pending.request->method == "HEAD")) {
         detach(channel)->socket->close();
         return false;
@@ -343,6 +361,8 @@
     const std::deque<uint64_t> queue = std::move(link.queue);
     link.queue.clear();
     for (const uint64_t call : queue) {
+        if (!calls_.contains(call))
+            continue;
         --link.replica->queued;
         calls_.erase(call);
         dispatcher_->callFailed(call, CallFailure::NotSent);
--- a/src/gateway/replica_links.h
+++ b/src/gateway/replica_links.h
@@ -53,6 +53,8 @@
     size_t limitOf(const Link& link) const;
     void pump(Link& link);
     void openAhead(TimePoint now);
+    bool isUsed(const ReplicaPtr& replica) const;
+    void closeIdle(Link& link);
     Channel* idleChannel(Link& link, bool needsLive);
     void openChannel(Link& link);
     bool sendOn(Channel& channel, uint64_t call);
@@ -67,6 +69,7 @@
     Dispatcher* dispatcher_ = nullptr;
     absl::flat_hash_map<const Replica*, std::unique_ptr<Link>> links_;
     absl::flat_hash_map<uint64_t, PendingCall> calls_;
+    TimePoint nextOpenAheadAt_ {};
     ReplicaLinksStats stats_;
 };
 
--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -17,6 +17,9 @@
     constexpr Millis kRetryMin { 100 };
     constexpr Millis kRetryMax { 1000 };
     constexpr uint32_t kMaxBackoffSteps = 4;
+    /// The registry cuts answers at about 500 entries: with so many there may be more, and they are
+    /// read at once.
+    constexpr size_t kFullAnswer = 200;
 
 } // namespace
 
@@ -49,6 +52,7 @@
         return;
     }
     hasReturned_ = isAway_;
+    isCaughtUp_ = false;
     isAway_ = false;
     failures_ = 0;
     if (mode_ == Mode::Reading)
@@ -82,6 +86,7 @@
         return;
     }
     hasCompletedReading_ = true;
+    isCaughtUp_ = true;
     mode_ = Mode::Following;
     nextCallAt_ = now + pause_;
 }
@@ -94,7 +99,8 @@
         return;
     }
     revision_ = std::max(revision_, result.revision);
-    nextCallAt_ = now + pause_;
+    isCaughtUp_ = result.entries < kFullAnswer;
+    nextCallAt_ = isCaughtUp_ ? now + pause_ : now;
 }
 
 void RegistrySync::failed(const RegistryResult& result, TimePoint now)
--- a/src/process/registry_sync.h
+++ b/src/process/registry_sync.h
@@ -66,6 +66,8 @@
 
     /// True when the last page of a full reading has just been taken.
     bool hasCompletedReading() const { return hasCompletedReading_; }
+    /// True when the last answer left nothing unread.
+    bool isCaughtUp() const { return isCaughtUp_; }
     /// True after a failure until a call succeeds.
     bool isAway() const { return isAway_; }
     /// True when the last call ended a time of failures.
@@ -93,6 +95,7 @@
     bool isAway_ = false;
     bool hasReturned_ = false;
     bool hasCompletedReading_ = false;
+    bool isCaughtUp_ = false;
 };
 
 } // namespace limpettrestle
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -13,8 +13,8 @@
     constexpr Millis kAvoidTime { 3000 };
     /// An instance that starts gives the readers, which may be starting too, so long before it reads
     /// for itself, and asks one that failed again after the second time.
-    constexpr Millis kStartTime { 700 };
-    constexpr Millis kStartAvoidTime { 100 };
+    constexpr Millis kStartTime { 250 };
+    constexpr Millis kStartAvoidTime { 50 };
 
 } // namespace
 
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -33,6 +33,12 @@
     constexpr int kWindowMerged = 256;
     constexpr int kWindowForwarded = 32;
 
+    /// How a call to the replica ends that is given up now.
+    CallEnd silenceOf(const Replica& replica, TimePoint now)
+    {
+        return replica.health.isSilent(now) ? CallEnd::Silent : CallEnd::Unwanted;
+    }
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherInit& init)
@@ -163,7 +169,7 @@
         abandoned_.pop_front();
         const auto found = calls_.find(call);
         if (found != calls_.end())
-            endCall(call, found->second->replica->health.isSilent(now));
+            endCall(call, silenceOf(*found->second->replica, now));
     }
     drainEvents();
 }
@@ -193,7 +199,7 @@
             handleFailure(*call, event.failure);
         const auto owner = requests_.find(call->request);
         if (owner != requests_.end())
-            check(*owner->second);
+            finishIfDecided(*owner->second);
     }
     isDraining_ = false;
 }
@@ -279,8 +285,8 @@
 bool Dispatcher::finishMerged(OpenRequest& open)
 {
     const uint32_t least = open.leastParts();
-    const uint32_t done = open.count(PartState::Done);
-    const uint32_t pending = open.count(PartState::Open);
+    const uint32_t done = open.done;
+    const uint32_t pending = open.pending();
     const TimePoint now = clock_.now();
     if (done + pending < least) {
         answerFailure(open, ResultCode::CoverageBelowMinimum);
@@ -379,7 +385,7 @@
     report.isMerged = open.isMerged();
     report.isLate = report.taken + open.request->transit > open.route->latencyTarget;
     report.parts = static_cast<uint32_t>(open.parts.size());
-    report.covered = open.count(PartState::Done);
+    report.covered = open.done;
     report.callsSent = open.callsSent;
     report.repeats = open.repeats;
     for (const MissingPart& missing : answer.missing)
@@ -400,7 +406,7 @@
             if (found == calls_.end())
                 continue;
             if (callerLeft || !found->second->isSent || now >= open.deadlineAt)
-                endCall(id, !callerLeft && found->second->replica->health.isSilent(now));
+                endCall(id, callerLeft ? CallEnd::Unwanted : silenceOf(*found->second->replica, now));
             else
                 abandoned_.emplace_back(now + kAbandonGrace, id);
         }
@@ -408,14 +414,14 @@
     }
 }
 
-void Dispatcher::endCall(uint64_t id, bool isFault)
+void Dispatcher::endCall(uint64_t id, CallEnd end)
 {
     const auto found = calls_.find(id);
     if (found == calls_.end())
         return;
     const std::unique_ptr<Call> call = std::move(found->second);
     calls_.erase(found);
-    call->replica->health.callEnded(id, clock_.now(), isFault);
+    call->replica->health.callEnded(id, clock_.now(), end);
     init_.transport->cancelCall(id);
 }
 
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -162,7 +162,7 @@
     bool tryRepeat(OpenRequest& open, size_t index, std::string_view why);
     bool moveUnsent(OpenRequest& open, size_t index, uint64_t call);
     void retryOrFail(OpenRequest& open, size_t index, ResultCode reason, std::string_view why);
-    static void markMissing(Part& part, ResultCode reason);
+    static void markMissing(OpenRequest& open, Part& part, ResultCode reason);
     Micros repeatDelay(const OpenRequest& open) const;
     ReplicaPtr chooseFor(const OpenRequest& open, const Part& part, ChoiceScope scope);
 
@@ -175,7 +175,7 @@
     void answerFailure(OpenRequest& open, ResultCode code);
     void finish(OpenRequest& open, RouteAnswer answer);
     void releaseCalls(OpenRequest& open, bool callerLeft);
-    void endCall(uint64_t call, bool isFault);
+    void endCall(uint64_t call, CallEnd end);
     void note(OpenRequest& open, std::string_view what, const std::string& service, const Replica* replica);
 
     const DispatcherInit init_;
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -59,10 +59,10 @@
         budgetOf(*part.service).firstCall(init_.repeatRatio, repeatBurst_);
         chosen.push_back(chooseFor(open, part, ChoiceScope::First));
         if (!chosen.back())
-            markMissing(part, ResultCode::NoReplicaReachable);
+            markMissing(open, part, ResultCode::NoReplicaReachable);
     }
     // Nothing is sent for a request that cannot succeed; the check that follows refuses it.
-    if (open.count(PartState::Open) < open.leastParts())
+    if (open.pending() < open.leastParts())
         return;
     for (size_t i = 0; i < chosen.size(); ++i) {
         if (chosen[i])
@@ -109,7 +109,9 @@
         return;
     const TimePoint now = clock_.now();
     bool hasUnsent = false;
-    for (const uint64_t id : std::vector<uint64_t>(part.calls)) {
+    // Moving a call replaces it at the end of the list, so that positions before it stay.
+    for (size_t i = 0; i < part.calls.size(); ++i) {
+        const uint64_t id = part.calls[i];
         const Call& call = *calls_.at(id);
         if (call.isSent)
             continue;
@@ -137,7 +139,7 @@
         return false;
     note(open, "no_connection", *part.service, call.replica.get());
     std::erase(part.calls, id);
-    endCall(id, false);
+    endCall(id, CallEnd::Unwanted);
     launch(open, index, replica, false);
     return true;
 }
@@ -184,7 +186,7 @@
     if (reply.misdirected)
         replica.isRefuted = true;
     if (isUnexecuted)
-        replica.health.callEnded(call.id, now, true);
+        replica.health.callEnded(call.id, now, CallEnd::Failed);
     else
         replica.health.callAnswered(call.id, now);
 
@@ -224,6 +226,7 @@
     Part& part = open.parts[index];
     part.reply = std::move(reply);
     part.state = PartState::Done;
+    ++open.done;
 }
 
 void Dispatcher::takeForwardedReply(OpenRequest& open, size_t index, ReplicaReply reply)
@@ -232,6 +235,7 @@
     if (reply.status < 500 && !promisesNotRun(reply.status)) {
         part.reply = std::move(reply);
         part.state = PartState::Done;
+        ++open.done;
         return;
     }
     // A failure of the replica is passed on unless another one helps; but never a status that would
@@ -250,7 +254,7 @@
     if (failure == CallFailure::NotSent)
         call.replica->health.connectFailed(now);
     else
-        call.replica->health.callEnded(call.id, now, true);
+        call.replica->health.callEnded(call.id, now, CallEnd::Failed);
     const auto owner = requests_.find(call.request);
     if (owner == requests_.end())
         return;
@@ -281,7 +285,7 @@
     const bool mayRunAgain = (open.mayRepeat() || part.runs == 0) && part.runs < open.route->maxAttempts;
     const bool hasTime = clock_.now() + kMinTimeLeft < open.deadlineAt;
     if (!mayRunAgain || part.tries >= kMaxTries || !hasTime) {
-        markMissing(part, reason);
+        markMissing(open, part, reason);
         return;
     }
     ReplicaPtr replica = chooseFor(open, part, ChoiceScope::First);
@@ -291,21 +295,22 @@
         replica = chooseFor(open, part, ChoiceScope::First);
     }
     if (!replica) {
-        markMissing(part, reason);
+        markMissing(open, part, reason);
         return;
     }
     const bool isRepeat = part.arrivals > 0;
     if (isRepeat && !budgetOf(*part.service).tryTake()) {
         ++stats_.repeatsDenied;
-        markMissing(part, reason);
+        markMissing(open, part, reason);
         return;
     }
     note(open, "retry", *part.service, replica.get());
     launch(open, index, replica, isRepeat);
 }
 
-void Dispatcher::markMissing(Part& part, ResultCode reason)
+void Dispatcher::markMissing(OpenRequest& open, Part& part, ResultCode reason)
 {
+    ++open.missing;
     part.state = PartState::Missing;
     part.reason = reason;
 }
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -70,10 +70,10 @@
         return std::max<uint32_t>(1, static_cast<uint32_t>(std::ceil(least - kSlack)));
     }
     bool mayRepeat() const { return route->repeat == RepeatPolicy::Idempotent; }
-    uint32_t count(PartState state) const
-    {
-        return static_cast<uint32_t>(std::count_if(parts.begin(), parts.end(), [state](const Part& part) { return part.state == state; }));
-    }
+    /// Parts by state.
+    uint32_t done = 0;
+    uint32_t missing = 0;
+    uint32_t pending() const { return static_cast<uint32_t>(parts.size()) - done - missing; }
 };
 
 struct Dispatcher::Call {
--- /dev/null
+++ b/tests/dispatcher_chaos_test.cpp
@@ -0,0 +1,207 @@
+/// Random schedules of connections, replies and losses against the promises of the dispatcher.
+
+#include "support/routing_bed.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace limpettrestle;
+
+namespace {
+
+/// Transport whose calls are sent, answered, refused or lost at random times.
+class ChaosTransport final : public ReplicaTransportI {
+public:
+    ChaosTransport(const TestClock& clock, uint64_t seed)
+        : random(seed)
+        , clock_(clock)
+    {
+    }
+
+    void startCall(uint64_t call, const ReplicaPtr& replica, const RequestPtr& request, Millis /*timeLeft*/, bool /*needsLive*/) override
+    {
+        const Millis wait = chance(30) ? Millis(random() % 60) : Millis(0);
+        calls_[call] = { replica->entry.id, replica->entry.service, request->requestId, clock_.now() + wait, {}, false };
+        if (wait == Millis(0))
+            send(call);
+    }
+    bool isConnected(const ReplicaPtr& /*replica*/) const override { return true; }
+    void cancelCall(uint64_t call) override { calls_.erase(call); }
+
+    /// Sends and ends what is due.
+    void step()
+    {
+        std::vector<uint64_t> due;
+        for (const auto& [id, call] : calls_) {
+            if ((call.isSent ? call.endsAt : call.sendAt) <= clock_.now())
+                due.push_back(id);
+        }
+        for (const uint64_t id : due) {
+            const auto found = calls_.find(id);
+            if (found == calls_.end())
+                continue;
+            if (found->second.isSent)
+                end(id);
+            else
+                send(id);
+        }
+    }
+
+    /// Replicas that ran a request, by request and service.
+    std::map<std::pair<std::string, std::string>, std::set<std::string>> runs;
+    std::map<std::string, int> runsByRequest;
+    Dispatcher* dispatcher = nullptr;
+    std::mt19937_64 random;
+
+private:
+    struct Open {
+        std::string replica;
+        std::string service;
+        std::string request;
+        TimePoint sendAt {};
+        TimePoint endsAt {};
+        bool isSent = false;
+    };
+
+    bool chance(uint64_t percent) { return random() % 100 < percent; }
+
+    void send(uint64_t id)
+    {
+        Open& call = calls_.at(id);
+        call.isSent = true;
+        call.endsAt = clock_.now() + (chance(20) ? Millis(random() % 200) : Millis(1 + random() % 10));
+        dispatcher->callSent(id);
+    }
+
+    void end(uint64_t id)
+    {
+        const Open call = calls_.at(id);
+        calls_.erase(id);
+        const uint64_t draw = random() % 100;
+        ReplicaReply reply;
+        reply.signature = call.replica + call.request;
+        reply.body = std::string(16, 'x');
+        if (draw < 10) {
+            reply.status = 503;
+            reply.notExecuted = true;
+            dispatcher->callAnswered(id, reply);
+            return;
+        }
+        runs[{ call.request, call.service }].insert(call.replica);
+        ++runsByRequest[call.request];
+        if (draw < 20) {
+            dispatcher->callFailed(id, CallFailure::Lost);
+            return;
+        }
+        reply.status = draw < 28 ? 500 : 200;
+        dispatcher->callAnswered(id, reply);
+    }
+
+    const TestClock& clock_;
+    std::map<uint64_t, Open> calls_;
+};
+
+class ChaosBed final : public AnswerSinkI {
+public:
+    explicit ChaosBed(uint64_t seed)
+        : transport(clock, seed)
+        , directory([](const ReplicaPtr&) {})
+    {
+        DispatcherInit init;
+        init.clock = &clock;
+        init.transport = &transport;
+        init.answers = this;
+        init.directory = &directory;
+        init.zone = "z0";
+        init.repeatSlack = 1e6;
+        init.seed = seed;
+        dispatcher = std::make_unique<Dispatcher>(init);
+        dispatcher->setFleetSize(1);
+        transport.dispatcher = dispatcher.get();
+        RoutingDocument document;
+        document.version = 1;
+        for (const bool isMerged : { true, false }) {
+            RouteSpec route;
+            route.name = isMerged ? "all" : "one";
+            route.host = "h";
+            route.prefix = "/" + route.name + "/";
+            route.repeat = isMerged ? RepeatPolicy::Idempotent : RepeatPolicy::AtMostOnce;
+            route.timeout = Millis(400);
+            route.latencyTarget = Millis(80);
+            route.maxAttempts = 2;
+            route.topRecords = 3;
+            route.minCoverage = 0.6;
+            if (isMerged)
+                route.shards = { "s0", "s1", "s2", "s3", "s4" };
+            else
+                route.shares = { { "s0", 1 } };
+            document.routes.push_back(route);
+        }
+        for (int shard = 0; shard < 5; ++shard) {
+            for (int copy = 0; copy < 3; ++copy) {
+                ReplicaEntry entry;
+                entry.service = "s" + std::to_string(shard);
+                entry.id = entry.service + "-" + std::to_string(copy);
+                entry.zone = "z" + std::to_string(copy);
+                directory.apply(entry, clock.now());
+            }
+        }
+        dispatcher->useTable(std::make_shared<const RouteTable>(document));
+    }
+
+    void answer(uint64_t request, RouteAnswer answer, const RequestReport& /*report*/) override { answers[request].push_back(std::move(answer)); }
+
+    void start(uint64_t request, bool isMerged)
+    {
+        ForwardedRequest forwarded;
+        forwarded.requestId = (isMerged ? "m" : "o") + std::to_string(request);
+        forwarded.target = isMerged ? "/all/" : "/one/";
+        forwarded.host = "h";
+        dispatcher->start(request, std::move(forwarded));
+    }
+
+    void pass(Millis time)
+    {
+        for (Millis step(0); step < time; step += Millis(1)) {
+            clock.advance(Millis(1));
+            transport.step();
+            if (dispatcher->nextTickAt() <= clock.now())
+                dispatcher->tick();
+        }
+    }
+
+    TestClock clock;
+    ChaosTransport transport;
+    ReplicaDirectory directory;
+    std::unique_ptr<Dispatcher> dispatcher;
+    std::map<uint64_t, std::vector<RouteAnswer>> answers;
+};
+
+} // namespace
+
+TEST_CASE("under random losses every request is answered once, in time, and run no more than allowed")
+{
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        ChaosBed bed(seed);
+        for (uint64_t request = 1; request <= 40; ++request) {
+            bed.start(request, request % 4 != 0);
+            bed.pass(Millis(bed.transport.random() % 30));
+        }
+        bed.pass(Millis(600));
+        INFO("seed " << seed);
+        for (uint64_t request = 1; request <= 40; ++request)
+            REQUIRE(bed.answers[request].size() == 1);
+        for (const auto& [key, replicas] : bed.transport.runs) {
+            INFO("request " << key.first << " service " << key.second);
+            REQUIRE(replicas.size() <= (key.first[0] == 'o' ? 1U : 2U));
+        }
+        for (const auto& [request, runs] : bed.transport.runsByRequest) {
+            INFO("request " << request);
+            if (request[0] != 'o')
+                continue;
+            REQUIRE(runs == 1);
+            const int status = bed.answers[std::stoull(request.substr(1))][0].status;
+            REQUIRE((status != 503 && status != 429 && status != 408 && status != 421));
+        }
+    }
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -198,8 +198,8 @@
     const ForwardedRequest forwarded = decodeRequest(request);
     CHECK(forwarded.requestId == "r1");
     CHECK(forwarded.patience == Millis(300));
-    const std::string head = encodeCallHead(forwarded, "i-9", Millis(250));
-    CHECK(head == "POST /a/x?y=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\nAccept: */*\r\nX-Deadline-Ms: 250\r\nX-Expect-Instance: i-9\r\nContent-Length: 3\r\n\r\n");
+    const std::string head = encodeCallHead(encodeCommonHead(forwarded), "i-9", Millis(250));
+    CHECK(head == "POST /a/x?y=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\nAccept: */*\r\nContent-Length: 3\r\nX-Deadline-Ms: 250\r\nX-Expect-Instance: i-9\r\n\r\n");
 }
 
 TEST_CASE("patience that cannot be read counts as not told")
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -107,3 +107,19 @@
     CHECK(isCutOff(30, 10));
     CHECK_FALSE(isCutOff(10, 30));
 }
+
+TEST_CASE("replicas that fall silent on open connections count as out of reach")
+{
+    RoutingBed bed(0);
+    bed.useStandardRoutes(4, RepeatPolicy::Idempotent);
+    Reachability reachability;
+    // Bytes vanish without a reset: no call is answered, and no connection fails.
+    for (uint64_t request = 1; request <= 8; ++request) {
+        bed.start(request, "/all/q");
+        bed.pass(Millis(120));
+        reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    }
+    bed.pass(Millis(700));
+    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    CHECK(reachability.isCutOff());
+}
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -25,6 +25,19 @@
     CHECK(sources.readsRegistry(kStart + Millis(2200)));
 }
 
+TEST_CASE("an instance that starts waits for a reader, but not for long")
+{
+    SourceChoice sources(2, false, 0, kStart);
+    CHECK_FALSE(sources.readsRegistry(kStart));
+    sources.peerFailed(0, kStart);
+    sources.peerFailed(1, kStart);
+    CHECK_FALSE(sources.readsRegistry(kStart + Millis(200)));
+    CHECK(sources.peer(kStart + Millis(60)) == 0);
+    sources.peerFailed(0, kStart + Millis(290));
+    sources.peerFailed(1, kStart + Millis(290));
+    CHECK(sources.readsRegistry(kStart + Millis(300)));
+}
+
 TEST_CASE("a follower whose readers are all lost reads for itself")
 {
     SourceChoice sources(2, false, 0, kStart);
@@ -187,6 +200,27 @@
     }
 }
 
+TEST_CASE("an answer that was cut short is followed by the next call at once")
+{
+    RegistrySync sync(Millis(2000));
+    sync.restart(kStart);
+    RegistryResult result;
+    result.outcome = RegistryOutcome::Done;
+    result.revision = 10;
+    sync.finished(result, kStart);
+    result.entries = 500;
+    result.revision = 510;
+    sync.finished(result, kStart + Millis(2000));
+    CHECK_FALSE(sync.isCaughtUp());
+    CHECK(sync.nextCallAt() == kStart + Millis(2000));
+    CHECK(sync.nextCall().afterRevision == 510);
+    result.entries = 30;
+    result.revision = 540;
+    sync.finished(result, kStart + Millis(2010));
+    CHECK(sync.isCaughtUp());
+    CHECK(sync.nextCallAt() == kStart + Millis(4010));
+}
+
 TEST_CASE("failures space the calls out, and the first success tells that the registry is back")
 {
     RegistrySync sync(Millis(1000));
