--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,7 +164,7 @@
     uv_timer_init(&loop_, &houseTimer_);
     houseTimer_.data = this;
     uv_timer_start(
-        &houseTimer_, [](uv_timer_t* timer) { static_cast<Gateway*>(timer->data)->houseKeep(); }, 0, static_cast<uint64_t>(kHousePeriod.count()));
+        &houseTimer_, [](uv_timer_t* timer) { static_cast<Gateway*>(timer->data)->houseKeep(); }, 0, static_cast<uint64_t>(kStartPeriod.count()));
     uv_prepare_init(&loop_, &prepare_);
     prepare_.data = this;
     uv_prepare_start(&prepare_, [](uv_prepare_t* prepare) { static_cast<Gateway*>(prepare->data)->beforePoll(); });
