Removals that were put off reach followers; everything is read anew after a long time away

Two readers were turned away by the store for 10 s. As they came back they replayed 10 s of old reports and so brought back a replica that had left; its removal was put off by 2 s, as for entries that lapsed; and when it was carried out the followers ignored it, since the reader's knowledge had the same age as theirs (the message was a millisecond quicker). Ruled out: the pause of the readers (1.2 s), frozen readers (no late wake in the log), the bound of the hold. Change: a follower takes over all that its reader tells; after 2 s without an answer the registry is read anew.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -433,9 +433,7 @@
         fleet_.sizeTold(reply.fleet, now);
     if (reply.config)
         applyConfig(*reply.config, reply.sender);
-    // An instance that reads for itself takes replicas from others only while the registry is away.
-    const bool needsPeers = !registry_->isActive() || sources_->isRegistryAway();
-    if (needsPeers && reply.age < sources_->age(now))
+    if (sources_->takesReplicas(registry_->isActive(), reply.age, now))
         applyPeerReplicas(reply);
     peerServer_->tellNews();
 }
--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -17,6 +17,9 @@
     constexpr Millis kRetryMin { 100 };
     constexpr Millis kRetryMax { 1000 };
     constexpr uint32_t kMaxBackoffSteps = 4;
+    /// After so long without an answer everything is read anew: following from the old revision would
+    /// bring back replicas that have left since, one old report after the other.
+    constexpr Millis kLongAway { 2000 };
     /// The registry cuts answers at about 500 entries: with so many there may be more, and they are
     /// read at once.
     constexpr size_t kFullAnswer = 200;
@@ -105,7 +108,11 @@
 
 void RegistrySync::failed(const RegistryResult& result, TimePoint now)
 {
+    if (!isAway_)
+        awaySince_ = now;
     isAway_ = true;
+    if (now - awaySince_ >= kLongAway)
+        startReading(now);
     const uint32_t step = std::min(failures_, kMaxBackoffSteps);
     ++failures_;
     Millis wait = std::min(kRetryMax, kRetryMin * (1 << step));
--- a/src/process/registry_sync.h
+++ b/src/process/registry_sync.h
@@ -92,6 +92,7 @@
     bool isFirstPage_ = true;
     uint64_t revision_ = 0;
     uint32_t failures_ = 0;
+    TimePoint awaySince_ {};
     bool isAway_ = false;
     bool hasReturned_ = false;
     bool hasCompletedReading_ = false;
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -83,6 +83,16 @@
     isRegistryAway_ = true;
 }
 
+bool SourceChoice::takesReplicas(bool isReading, Millis age, TimePoint now) const
+{
+    // A follower takes over all that its reader tells: knowledge of one moment may change later, when
+    // a removal that was put off is carried out.
+    if (!isReading)
+        return true;
+    // One that reads for itself takes only what is newer, as long as the registry does not answer.
+    return isRegistryAway_ && age < this->age(now);
+}
+
 Millis SourceChoice::age(TimePoint now) const
 {
     return std::chrono::duration_cast<Millis>(std::min<TimePoint::duration>(now - knownAt_, std::chrono::hours(1)));
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -24,6 +24,9 @@
     void registryAnswered(TimePoint now);
     void registryFailed(TimePoint now);
 
+    /// True when replicas as a reader told them, known since `age`, are to be taken over. `isReading`:
+    /// this instance reads the registry at present.
+    bool takesReplicas(bool isReading, Millis age, TimePoint now) const;
     /// The registry did not answer the last time it was asked.
     bool isRegistryAway() const { return isRegistryAway_; }
     /// Time since what this instance knows left the registry.
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -56,7 +56,8 @@
 void Dispatcher::setFleetSize(uint32_t instances)
 {
     subset_.instances = instances + instances / kJoiningShare + kJoining;
-    const double share = init_.repeatSlack / (subset_.instances + instances / kBurstReserveShare);
+    const uint32_t sharers = subset_.instances + instances / kBurstReserveShare;
+    const double share = init_.repeatSlack / sharers;
     repeatBurst_ = init_.repeatSlack > 0 ? std::max(kLeastBurst, share) : 0;
 }
 
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -221,6 +221,38 @@
     CHECK(sync.nextCallAt() == kStart + Millis(4010));
 }
 
+TEST_CASE("after a long time away everything is read anew, after a short one changes are followed")
+{
+    for (const Millis away : { Millis(300), Millis(5000) }) {
+        RegistrySync sync(Millis(1000));
+        sync.restart(kStart);
+        RegistryResult result;
+        result.outcome = RegistryOutcome::Done;
+        result.revision = 10;
+        sync.finished(result, kStart);
+        result.outcome = RegistryOutcome::Refused;
+        sync.finished(result, kStart + Millis(1000));
+        sync.finished(result, kStart + Millis(1000) + away);
+        const bool isLong = away > Millis(1000);
+        CHECK((sync.nextCall().kind == RegistryCall::Kind::Page) == isLong);
+    }
+}
+
+TEST_CASE("a follower takes over what its reader tells, also when the knowledge is of the same moment")
+{
+    SourceChoice sources(2, false, 0, kStart);
+    const TimePoint first = kStart + std::chrono::seconds(10);
+    sources.peerAnswered(0, Millis(500), first);
+    // Told once more 600 ms later; the message took a millisecond less on its way.
+    CHECK(sources.takesReplicas(false, Millis(1101), first + Millis(600)));
+    SourceChoice reader(2, true, 0, kStart);
+    reader.registryAnswered(first);
+    CHECK_FALSE(reader.takesReplicas(true, Millis(0), first + Millis(100)));
+    reader.registryFailed(first + Millis(200));
+    CHECK(reader.takesReplicas(true, Millis(100), first + Millis(300)));
+    CHECK_FALSE(reader.takesReplicas(true, Millis(1000), first + Millis(300)));
+}
+
 TEST_CASE("failures space the calls out, and the first success tells that the registry is back")
 {
     RegistrySync sync(Millis(1000));
--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -3,6 +3,7 @@
 /// TCP peer on the loopback that sends scripted bytes, for tests of connections.
 
 #include <netinet/in.h>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -27,8 +28,8 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        listen(listener_, 1);
+        if (bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 || listen(listener_, 1) != 0)
+            throw std::runtime_error("no listener on the loopback");
         socklen_t length = sizeof(address);
         getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
         port_ = ntohs(address.sin_port);
