--- a/tools/check_repo.py
+++ b/tools/check_repo.py
@@ -8,7 +8,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PAGES = ["README.md", "KNOWN-RED.txt", "docs/DESIGN.md", "docs/PROOFS.md", "docs/CAPACITY.md", "docs/GLOSSARY.md",
-         "docs/RESULT-CODES.md", "docs/OPERATIONS.md", "docs/INTERFACES.md"]
+         "docs/RESULT-CODES.md", "docs/OPERATIONS.md", "docs/INTERFACES.md", "docs/GATEWAY.md", "docs/incidents/README.md"]
 problems = []
 
 
