--- a/src/connection/load_budget.h
+++ b/src/connection/load_budget.h
@@ -15,6 +15,9 @@
     {
     }
 
+    /// Tokens that may be saved up from now on.
+    void setBurst(double burst) { burst_ = burst; }
+
     void earn(double share) { tokens_ = std::min(burst_, tokens_ + share); }
 
     bool spend()
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -131,14 +131,20 @@
     return text;
 }
 
-leaf::result<DaemonSettings> loadSettings(const std::string& file)
+leaf::result<std::string> readSettingsFile(const std::string& file)
 {
     std::ifstream in(file);
     if (!in)
         return leaf::new_error(SettingsError { ResultCode::SettingsUnreadable, file, "", "a file that can be read" });
     std::stringstream text;
     text << in.rdbuf();
-    return parseSettings(file, text.str());
+    return text.str();
+}
+
+leaf::result<DaemonSettings> loadSettings(const std::string& file)
+{
+    BOOST_LEAF_AUTO(text, readSettingsFile(file));
+    return parseSettings(file, text);
 }
 
 leaf::result<DaemonSettings> parseSettings(const std::string& file, const std::string& text)
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -47,6 +47,9 @@
 /// One line for a person.
 std::string describe(const SettingsError& error);
 
+/// Text of a settings file. The error carries a `SettingsError`.
+boost::leaf::result<std::string> readSettingsFile(const std::string& file);
+
 /// Reads and checks a settings file. The error carries a `SettingsError`.
 boost::leaf::result<DaemonSettings> loadSettings(const std::string& file);
 boost::leaf::result<DaemonSettings> parseSettings(const std::string& file, const std::string& text);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,13 +12,6 @@
 
 namespace limpettrestle {
 
-/// Serves one fixed set of pages on a listener of its own.
-class PageHandlerI {
-public:
-    virtual ~PageHandlerI() = default;
-    virtual HttpResponse page(const HttpRequest& request) = 0;
-};
-
 class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public KnowledgeI {
 public:
     Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -2,9 +2,6 @@
 
 #include "../json_checks.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace limpettrestle {
 
 namespace {
@@ -123,12 +120,8 @@
 
 leaf::result<GatewaySettings> loadGatewaySettings(const std::string& file)
 {
-    std::ifstream in(file);
-    if (!in)
-        return leaf::new_error(SettingsError { ResultCode::SettingsUnreadable, file, "", "a file that can be read" });
-    std::stringstream text;
-    text << in.rdbuf();
-    return parseGatewaySettings(file, text.str());
+    BOOST_LEAF_AUTO(text, readSettingsFile(file));
+    return parseGatewaySettings(file, text);
 }
 
 leaf::result<GatewaySettings> parseGatewaySettings(const std::string& file, const std::string& text)
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -257,12 +257,12 @@
     return *state;
 }
 
-RepeatBudget& Dispatcher::budgetOf(const std::string& service)
+LoadBudget& Dispatcher::budgetOf(const std::string& service)
 {
     const auto found = budgets_.find(service);
     if (found != budgets_.end())
         return found->second;
-    return budgets_.emplace(service, RepeatBudget(repeatBurst_)).first->second;
+    return budgets_.emplace(service, LoadBudget(repeatBurst_)).first->second;
 }
 
 void Dispatcher::check(OpenRequest& open)
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -4,7 +4,7 @@
 /// and deadlines, merges parts, and decides each final answer. No I/O, no threads.
 
 #include "../connection/latency_quantile.h"
-#include "../connection/repeat_budget.h"
+#include "../connection/load_budget.h"
 #include "../connection/replica_choice.h"
 #include "../connection/replica_subset.h"
 #include "../process/replica_directory.h"
@@ -154,7 +154,7 @@
     std::unique_ptr<OpenRequest> makeRequest(uint64_t request, ForwardedRequest forwarded, const RouteSpec& route);
     void reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter);
     RouteState& stateOf(const RouteSpec& route);
-    RepeatBudget& budgetOf(const std::string& service);
+    LoadBudget& budgetOf(const std::string& service);
 
     void launch(OpenRequest& open, size_t index, const ReplicaPtr& replica, bool isRepeat);
     void launchAll(OpenRequest& open);
@@ -187,7 +187,8 @@
     /// Calls whose request has been answered, to be cancelled unless their reply comes soon.
     std::deque<std::pair<TimePoint, uint64_t>> abandoned_;
     absl::flat_hash_map<std::string, std::unique_ptr<RouteState>> routeStates_;
-    absl::flat_hash_map<std::string, RepeatBudget> budgets_;
+    /// Repeats by service.
+    absl::flat_hash_map<std::string, LoadBudget> budgets_;
     SubsetRule subset_;
     double repeatBurst_ = 1;
     std::deque<CallEvent> events_;
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -56,7 +56,9 @@
 {
     std::vector<ReplicaPtr> chosen;
     for (Part& part : open.parts) {
-        budgetOf(*part.service).firstCall(init_.repeatRatio, repeatBurst_);
+        LoadBudget& budget = budgetOf(*part.service);
+        budget.setBurst(repeatBurst_);
+        budget.earn(init_.repeatRatio);
         chosen.push_back(chooseFor(open, part, ChoiceScope::First));
         if (!chosen.back())
             markMissing(open, part, ResultCode::NoReplicaReachable);
@@ -168,7 +170,7 @@
     const ReplicaPtr replica = chooseFor(open, part, ChoiceScope::Repeat);
     if (!replica)
         return false;
-    if (!budgetOf(*part.service).tryTake()) {
+    if (!budgetOf(*part.service).spend()) {
         ++stats_.repeatsDenied;
         return false;
     }
@@ -299,7 +301,7 @@
         return;
     }
     const bool isRepeat = part.arrivals > 0;
-    if (isRepeat && !budgetOf(*part.service).tryTake()) {
+    if (isRepeat && !budgetOf(*part.service).spend()) {
         ++stats_.repeatsDenied;
         markMissing(open, part, reason);
         return;
