A comment says what the limit is for

Cause: the comment on the client's peer timeout named a reason that does not exist. Conclusion: words only.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr std::array<std::string_view, 5> kEndNames = { "connect_failed", "connect_timeout", "closed", "reset", "protocol" };
-    /// A peer that takes no byte for so long is gone; below the shortest deadline margin of a request's life.
+    /// A peer that acknowledges nothing for so long is gone: longer than any retransmission on a working link.
     constexpr int kPeerTimeoutMs = 2000;
     /// Largest reply body that is collected; replies are far smaller.
     constexpr size_t kMaxBodyBytes = 8 << 20;
