Followers wait for a reader as long as its pause lasts

Cause: readers pause for 0.4 of the shortest reaction time between two readings, 2 s on the grown site, and hold a call for 0.7 s; followers read for themselves when their knowledge was older than 2.4 s, a constant that fitted the small sites (1.2 s). Change: the age follows from the reader's pause and the reaction time (pause + 1.6 s, at most 0.8 of the reaction). Test: the reader's quiet cycle does not wake the follower; the old constant is what the test before it shows (reads at 2.2 s).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,11 +76,20 @@
     uv_loop_init(&loop_);
     makeDispatcher();
     callers_ = std::make_unique<HttpServer>(&loop_, *this, clock_);
-    const auto pause = std::chrono::duration_cast<Millis>(std::min(settings_.drainReaction, settings_.configReaction) * kPauseShare);
-    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, pause, *this);
+    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, readingPause(), *this);
     makePeers();
 }
 
+Millis Gateway::reactionTime() const
+{
+    return std::min(settings_.drainReaction, settings_.configReaction);
+}
+
+Millis Gateway::readingPause() const
+{
+    return std::chrono::duration_cast<Millis>(reactionTime() * kPauseShare);
+}
+
 void Gateway::makeDispatcher()
 {
     links_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &directory_ });
@@ -108,7 +117,8 @@
             peers.push_back(seed);
     }
     const size_t offset = peers.empty() ? 0 : std::hash<std::string> {}(settings_.name) % peers.size();
-    sources_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now());
+    const Millis maxAge = SourceChoice::maxAge(reactionTime(), readingPause());
+    sources_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now(), maxAge);
     peerServer_ = std::make_unique<PeerServer>(&loop_, clock_, *this, fleet_);
     follower_ = std::make_unique<PeerFollower>(&loop_, clock_, settings_.name, std::move(peers), isReader_, *sources_);
     follower_->setHandlers([this](const ChangesReply& reply) { onPeerReply(reply); },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,8 @@
     void onPeerReply(const ChangesReply& reply);
     void applyPeerReplicas(const ChangesReply& reply);
 
+    Millis reactionTime() const;
+    Millis readingPause() const;
     void makeDispatcher();
     void makePeers();
     bool bindAll();
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-    /// Knowledge older than this is renewed from the registry: well below the time in which
-    /// instances must react to a leaving replica.
-    constexpr Millis kMaxAge { 2400 };
+    /// Share of the time for reactions after which knowledge is renewed from the registry; the rest is
+    /// for that reading.
+    constexpr double kMaxAgeShare = 0.8;
+    /// Age that a follower's knowledge reaches beyond its reader's pause in quiet times: the holds of the
+    /// reader's call and of its own, 1.3 s, and both ways.
+    constexpr Millis kUsualAge { 1600 };
     /// Time for which a reader that failed, or that knows old things only, is not asked.
     constexpr Millis kAvoidTime { 3000 };
     /// An instance that starts gives the readers, which may be starting too, so long before it reads
@@ -18,14 +21,21 @@
 
 } // namespace
 
-SourceChoice::SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now)
+SourceChoice::SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now, Millis maxAge)
     : peers_(peers)
     , isReader_(isReader)
     , offset_(offset)
+    , maxAge_(maxAge)
     , startedAt_(now)
 {
 }
 
+Millis SourceChoice::maxAge(Millis reaction, Millis pause)
+{
+    const auto most = std::chrono::duration_cast<Millis>(reaction * kMaxAgeShare);
+    return std::min(most, pause + kUsualAge);
+}
+
 bool SourceChoice::isStarting(TimePoint now) const
 {
     return knownAt_ == TimePoint {} && now - startedAt_ < kStartTime;
@@ -33,7 +43,7 @@
 
 bool SourceChoice::hasFreshPeer(TimePoint now) const
 {
-    return now - peerKnownAt_ <= kMaxAge;
+    return now - peerKnownAt_ <= maxAge_;
 }
 
 bool SourceChoice::readsRegistry(TimePoint now) const
@@ -63,7 +73,7 @@
     const TimePoint knownAt = now - age;
     knownAt_ = std::max(knownAt_, knownAt);
     peerKnownAt_ = std::max(peerKnownAt_, knownAt);
-    if (age > kMaxAge)
+    if (age > maxAge_)
         peers_[static_cast<size_t>(peer)].avoidUntil = now + kAvoidTime;
 }
 
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -10,8 +10,13 @@
 class SourceChoice {
 public:
     /// `peers`: readers other than this instance. `isReader`: this instance is one of them.
-    /// `offset`: spreads followers over the readers.
-    SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now);
+    /// `offset`: spreads followers over the readers. `maxAge`: age of knowledge at which an instance
+    /// reads for itself.
+    SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now, Millis maxAge = kLeastMaxAge);
+
+    /// That age, where readers pause for `pause` between two readings and a replica that leaves must get
+    /// no more work after `reaction`.
+    static Millis maxAge(Millis reaction, Millis pause);
 
     /// True while the registry is to be read directly.
     bool readsRegistry(TimePoint now) const;
@@ -33,6 +38,8 @@
     Millis age(TimePoint now) const;
 
 private:
+    static constexpr Millis kLeastMaxAge { 2400 };
+
     struct Peer {
         TimePoint avoidUntil {};
     };
@@ -43,6 +50,7 @@
     std::vector<Peer> peers_;
     const bool isReader_;
     const size_t offset_;
+    const Millis maxAge_;
     const TimePoint startedAt_;
     /// Time at which the newest knowledge left the registry.
     TimePoint knownAt_ {};
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -25,6 +25,18 @@
     CHECK(sources.readsRegistry(kStart + Millis(2200)));
 }
 
+TEST_CASE("a follower waits for a reader that pauses longer, within the time for reactions")
+{
+    const Millis pause(2000);
+    const Millis maxAge = SourceChoice::maxAge(Millis(5000), pause);
+    SourceChoice sources(2, false, 0, kStart, maxAge);
+    sources.peerAnswered(0, Millis(0), kStart + Millis(100));
+    // Pause, hold of the reader's call and hold of the follower's.
+    CHECK_FALSE(sources.readsRegistry(kStart + Millis(100) + pause + Millis(1300)));
+    CHECK(sources.readsRegistry(kStart + Millis(100) + Millis(4001)));
+    CHECK(SourceChoice::maxAge(Millis(3000), Millis(1200)) == Millis(2400));
+}
+
 TEST_CASE("an instance that starts waits for a reader, but not for long")
 {
     SourceChoice sources(2, false, 0, kStart);
