Calls that wait for a connection count against the attempts of their part

Ruled out: replies "not run" counted twice, calls of finished parts (unsent ones end with their request). Test of the case itself: three open calls for two attempts before, two after.

--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -160,7 +160,7 @@
     void launchAll(OpenRequest& open);
     bool tryHedge(OpenRequest& open, size_t index);
     bool tryRepeat(OpenRequest& open, size_t index, std::string_view why);
-    bool moveUnsent(OpenRequest& open, size_t index, uint64_t call);
+    void moveUnsent(OpenRequest& open, size_t index, uint64_t call);
     void retryOrFail(OpenRequest& open, size_t index, ResultCode reason, std::string_view why);
     static void markMissing(OpenRequest& open, Part& part, ResultCode reason);
     Micros repeatDelay(const OpenRequest& open) const;
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -118,8 +118,10 @@
         if (call.isSent)
             continue;
         const TimePoint patienceEnd = call.startedAt + connectPatience(*open.route);
-        if (now < patienceEnd || !moveUnsent(open, index, id))
-            hasUnsent = true;
+        // One that was moved may wait for its connection as well.
+        hasUnsent = true;
+        if (now >= patienceEnd)
+            moveUnsent(open, index, id);
         open.nextCheckAt = std::min(open.nextCheckAt, std::max(patienceEnd, now + kDeniedPause));
     }
     if (hasUnsent || part.state != PartState::Open || !open.mayRepeat() || part.runs >= open.route->maxAttempts)
@@ -130,7 +132,7 @@
         open.nextCheckAt = std::min(open.nextCheckAt, std::max(part.repeatAt, now + Millis(1)));
 }
 
-bool Dispatcher::moveUnsent(OpenRequest& open, size_t index, uint64_t id)
+void Dispatcher::moveUnsent(OpenRequest& open, size_t index, uint64_t id)
 {
     Part& part = open.parts[index];
     const ReplicaPtr replica = part.tries < kMaxTries ? chooseFor(open, part, ChoiceScope::First) : nullptr;
@@ -138,12 +140,11 @@
     if (!init_.transport->isConnected(call.replica))
         call.replica->health.connectFailed(clock_.now());
     if (!replica)
-        return false;
+        return;
     note(open, "no_connection", *part.service, call.replica.get());
     std::erase(part.calls, id);
     endCall(id, CallEnd::Unwanted);
     launch(open, index, replica, false);
-    return true;
 }
 
 bool Dispatcher::tryHedge(OpenRequest& open, size_t index)
--- a/tests/dispatcher_chaos_test.cpp
+++ b/tests/dispatcher_chaos_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Replicas of a shard: more than a request may run on while others wait for a connection.
+constexpr int kReplicas = 5;
+
 /// Transport whose calls are sent, answered, refused or lost at random times.
 class ChaosTransport final : public ReplicaTransportI {
 public:
@@ -138,7 +141,7 @@
             document.routes.push_back(route);
         }
         for (int shard = 0; shard < 5; ++shard) {
-            for (int copy = 0; copy < 3; ++copy) {
+            for (int copy = 0; copy < kReplicas; ++copy) {
                 ReplicaEntry entry;
                 entry.service = "s" + std::to_string(shard);
                 entry.id = entry.service + "-" + std::to_string(copy);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -371,3 +371,21 @@
     }
     CHECK(taken <= Millis(80));
 }
+
+TEST_CASE("calls that wait for a connection count against the attempts of their part")
+{
+    RoutingBed bed;
+    bed.useStandardRoutes(20, RepeatPolicy::Idempotent);
+    bed.addReplica("s0-c", "s0", "south");
+    bed.addReplica("s0-d", "s0", "south");
+    bed.transport.unconnected = { { "s0-b", true }, { "s0-c", true }, { "s0-d", true } };
+    bed.start(1, "/all/q");
+    bed.pass(Millis(3));
+    bed.replyToAllBut({ "s0-a" });
+    for (Millis step(0); step < Millis(70); step += Millis(1)) {
+        bed.pass(Millis(1));
+        const auto open = std::count_if(bed.transport.calls.begin(), bed.transport.calls.end(),
+            [](const RecordedCall& call) { return call.service == "s0" && call.isOpen; });
+        REQUIRE(open <= 2);
+    }
+}
