Older knowledge is refused, and what was refused is asked for again

Change: a follower refuses what is more than 100 ms older than it knows; a refused reply neither moves the position nor the age; its sender is passed over for 300 ms. Tests: the decisions, and a follower against a real server asks again from where it was.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,7 +128,7 @@
     sources_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now(), maxAge);
     peerServer_ = std::make_unique<PeerServer>(&loop_, clock_, *this, fleet_, instances_, *this);
     follower_ = std::make_unique<PeerFollower>(&loop_, clock_, self(), std::move(peers), isReader_, *sources_);
-    follower_->setHandlers([this](const ChangesReply& reply) { onPeerReply(reply); },
+    follower_->setHandlers([this](const ChangesReply& reply) { return onPeerReply(reply); },
         [this](const Endpoint& peer, const std::string& reason) { log_.out().warn("event=dependency_lost name=peer address={} reason={}", peer.text(), reason); });
 }
 
@@ -493,7 +493,7 @@
     directory_.remove(item.replicaId, clock_.now());
 }
 
-void Gateway::onPeerReply(const ChangesReply& reply)
+bool Gateway::onPeerReply(const ChangesReply& reply)
 {
     const TimePoint now = clock_.now();
     if (isReader_)
@@ -506,9 +506,11 @@
         instances_.stillTold(reply.sender, now);
     if (reply.config)
         applyConfig(*reply.config, reply.sender);
-    if (sources_->takesReplicas(registry_->isActive(), reply.age, now))
+    const bool isTaken = sources_->takesReplicas(registry_->isActive(), reply.age, now);
+    if (isTaken)
         applyPeerReplicas(reply);
     peerServer_->tellNews();
+    return isTaken;
 }
 
 void Gateway::applyPeerReplicas(const ChangesReply& reply)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,7 +37,7 @@
     void onGroupLeft(ExchangeId exchange) override;
     void answerGroup(ExchangeId exchange, RouteAnswer answer, const RequestReport& report);
     InstanceInfo self() const;
-    void onPeerReply(const ChangesReply& reply);
+    bool onPeerReply(const ChangesReply& reply);
     void applyPeerReplicas(const ChangesReply& reply);
 
     Millis reactionTime() const;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -221,10 +221,14 @@
         return AfterResponse::Keep;
     }
     isCalling_ = false;
-    positions_[connectedTo_] = isOutdated_ ? ChangePosition {} : reply->upTo;
     digests_[connectedTo_] = reply->instancesDigest;
-    onReply_(*reply);
-    sources_.peerAnswered(static_cast<int>(connectedTo_), reply->age, clock_.now());
+    const int peer = static_cast<int>(connectedTo_);
+    if (onReply_(*reply)) {
+        positions_[connectedTo_] = isOutdated_ ? ChangePosition {} : reply->upTo;
+        sources_.peerAnswered(peer, reply->age, clock_.now());
+    } else {
+        sources_.peerPassedOver(peer, reply->age, clock_.now());
+    }
     step();
     return AfterResponse::Keep;
 }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -68,7 +68,8 @@
 /// Asks the readers: the one that is followed for changes, and as a reader the others for their numbers.
 class PeerFollower final : public HttpClientListenerI {
 public:
-    using ReplyHandler = std::function<void(const ChangesReply&)>;
+    /// False where the replicas of the reply are not taken over; they will be told again.
+    using ReplyHandler = std::function<bool(const ChangesReply&)>;
     using LossHandler = std::function<void(const Endpoint&, const std::string& reason)>;
 
     PeerFollower(uv_loop_t* loop, const ClockI& clock, InstanceInfo self, std::vector<Endpoint> peers, bool isReader, SourceChoice& sources);
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -14,6 +14,10 @@
     constexpr Millis kUsualAge { 1600 };
     /// Time for which a reader that failed, or that knows old things only, is not asked.
     constexpr Millis kAvoidTime { 3000 };
+    /// The same for one whose knowledge is good but older than what this instance knows already.
+    constexpr Millis kPassedOverTime { 300 };
+    /// Difference within which two ages are of one moment: ages grow on the way.
+    constexpr Millis kSameMoment { 100 };
     /// An instance that starts gives the readers, which may be starting too, so long before it reads
     /// for itself, and asks one that failed again after the second time.
     constexpr Millis kStartTime { 250 };
@@ -77,6 +81,14 @@
         peers_[static_cast<size_t>(peer)].avoidUntil = now + kAvoidTime;
 }
 
+void SourceChoice::peerPassedOver(int peer, Millis age, TimePoint now)
+{
+    const bool isFresh = age <= maxAge_;
+    if (isFresh)
+        peerKnownAt_ = std::max(peerKnownAt_, now - age);
+    peers_[static_cast<size_t>(peer)].avoidUntil = now + (isFresh ? kPassedOverTime : kAvoidTime);
+}
+
 void SourceChoice::peerFailed(int peer, TimePoint now)
 {
     peers_[static_cast<size_t>(peer)].avoidUntil = now + (isStarting(now) ? kStartAvoidTime : kAvoidTime);
@@ -95,12 +107,13 @@
 
 bool SourceChoice::takesReplicas(bool isReading, Millis age, TimePoint now) const
 {
-    // A follower takes over all that its reader tells: knowledge of one moment may change later, when
-    // a removal that was put off is carried out.
+    const TimePoint knownAt = now - age;
+    // A follower also takes over what is of the same moment: it may change later, when a removal that was
+    // put off is carried out. A reader that was suspended tells older things.
     if (!isReading)
-        return true;
+        return knownAt + kSameMoment >= knownAt_;
     // One that reads for itself takes only what is newer, as long as the registry does not answer.
-    return isRegistryAway_ && age < this->age(now);
+    return isRegistryAway_ && knownAt > knownAt_;
 }
 
 Millis SourceChoice::age(TimePoint now) const
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -25,6 +25,8 @@
 
     /// A reader answered; `age`: time since the knowledge in its answer left the registry.
     void peerAnswered(int peer, Millis age, TimePoint now);
+    /// A reader answered with what is not taken over.
+    void peerPassedOver(int peer, Millis age, TimePoint now);
     void peerFailed(int peer, TimePoint now);
     void registryAnswered(TimePoint now);
     void registryFailed(TimePoint now);
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -1,9 +1,12 @@
 /// Where an instance learns from: readers, followers, and what each does without the other.
 
+#include "../src/gateway/peer_exchange.h"
 #include "../src/gateway/peer_messages.h"
 #include "../src/process/fleet_size.h"
 #include "../src/process/registry_sync.h"
 #include "../src/process/source_choice.h"
+#include "../src/process/system_clock.h"
+#include "support/raw_peer.h"
 #include "support/routing_bed.h"
 
 #include <catch2/catch.hpp>
@@ -369,3 +372,87 @@
     CHECK(usedReplicas(directory.of("s"), 26, few).size() == 3);
     CHECK(connectionShare(26, 10) == 2);
 }
+
+TEST_CASE("a follower refuses what is older than it knows, as a reader tells that was suspended")
+{
+    SourceChoice sources(2, false, 0, kStart);
+    sources.peerAnswered(0, Millis(200), kStart + Millis(1000));
+    const TimePoint now = kStart + Millis(1500);
+    CHECK(sources.takesReplicas(false, Millis(700), now));
+    CHECK(sources.takesReplicas(false, Millis(750), now));
+    CHECK_FALSE(sources.takesReplicas(false, Millis(1500), now));
+    // What was refused makes nothing younger, and another reader is asked meanwhile.
+    sources.peerPassedOver(0, Millis(1500), now);
+    CHECK(sources.age(now) == Millis(700));
+    CHECK(sources.peer(now) == 1);
+    CHECK_FALSE(sources.readsRegistry(now));
+    CHECK(sources.peer(now + Millis(301)) == 0);
+    sources.peerPassedOver(0, Millis(4400), now);
+    CHECK(sources.peer(now + Millis(301)) == 1);
+}
+
+TEST_CASE("a reader that only asks for numbers knows nothing younger by it")
+{
+    SourceChoice reader(1, true, 0, kStart);
+    reader.registryAnswered(kStart);
+    const TimePoint now = kStart + Millis(1500);
+    CHECK_FALSE(reader.takesReplicas(true, Millis(50), now));
+    reader.peerPassedOver(0, Millis(50), now);
+    CHECK(reader.age(now) == Millis(1500));
+}
+
+namespace {
+
+/// Reader that always has the same news.
+class NewsServer final : public HttpHandlerI {
+public:
+    NewsServer(uv_loop_t* loop, const ClockI& clock)
+        : server(loop, *this, clock)
+    {
+    }
+
+    void onRequest(ExchangeId exchange, HttpRequest request) override
+    {
+        asked.push_back(decodeTarget(request.target).value());
+        ChangesReply reply;
+        reply.upTo = { 5, 9 };
+        HttpResponse response;
+        response.status = 200;
+        response.body = encode(reply);
+        server.respond(exchange, std::move(response));
+    }
+    void onCallerLeft(ExchangeId /*exchange*/) override { }
+
+    HttpServer server;
+    std::vector<ChangesRequest> asked;
+};
+
+} // namespace
+
+TEST_CASE("what a follower did not take over is asked for again")
+{
+    for (const bool isTaken : { true, false }) {
+        const int port = freePort();
+        const SystemClock clock;
+        uv_loop_t loop;
+        uv_loop_init(&loop);
+        NewsServer news(&loop, clock);
+        REQUIRE(news.server.listen("127.0.0.1", port));
+        SourceChoice sources(1, false, 0, clock.now());
+        PeerFollower follower(&loop, clock, { "n1", "north", "127.0.0.1", 1 }, { { "127.0.0.1", port } }, false, sources);
+        follower.setHandlers([isTaken](const ChangesReply&) { return isTaken; }, [](const Endpoint&, const std::string&) {});
+        const TimePoint end = clock.now() + Millis(2000);
+        while (news.asked.size() < 2 && clock.now() < end) {
+            follower.step();
+            uv_run(&loop, UV_RUN_NOWAIT);
+        }
+        REQUIRE(news.asked.size() >= 2);
+        CHECK(news.asked[0].after == ChangePosition {});
+        CHECK(news.asked[1].after == (isTaken ? ChangePosition { 5, 9 } : ChangePosition {}));
+        follower.stop();
+        news.server.stopListening();
+        news.server.closeIdle();
+        for (int i = 0; i < 20; ++i)
+            uv_run(&loop, UV_RUN_NOWAIT);
+    }
+}
--- a/tests/support/raw_peer.h
+++ b/tests/support/raw_peer.h
@@ -11,6 +11,21 @@
 
 namespace limpettrestle {
 
+/// A port of the loopback that was free a moment ago.
+inline int freePort()
+{
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    const bool isBound = bind(probe, reinterpret_cast<sockaddr*>(&address), length) == 0 && getsockname(probe, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+    close(probe);
+    if (!isBound)
+        throw std::runtime_error("no free port on the loopback");
+    return ntohs(address.sin_port);
+}
+
 enum class PeerEnd {
     Orderly,
     Reset,
