Removals learnt from readers and refused knowledge are logged

What changes the belief of a follower had no line: a removal that a reader told, and a reader's reply that was not taken over.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -509,6 +509,8 @@
     const bool isTaken = sources_->takesReplicas(registry_->isActive(), reply.age, now);
     if (isTaken)
         applyPeerReplicas(reply);
+    else if (!isReader_)
+        log_.out().info("event=knowledge_refused reader={} age_ms={} own_age_ms={}", reply.sender, reply.age.count(), sources_->age(now).count());
     peerServer_->tellNews();
     return isTaken;
 }
@@ -518,8 +520,11 @@
     const TimePoint now = clock_.now();
     for (const ReplicaEntry& entry : reply.written)
         applyReplica(entry);
-    for (const std::string& id : reply.removed)
+    for (const std::string& id : reply.removed) {
+        if (hasDirectory_ && directory_.find(id))
+            log_.out().info("event=replica id={} state=removed reader={}", id, reply.sender);
         directory_.remove(id, now);
+    }
     if (!reply.isWhole)
         return;
     absl::flat_hash_set<std::string> named;
