Times between readings follow from the reaction time as one set

Change: pause, holds and age limit come from one place and fit together for any reaction. Test: the usual cycle of 1, 3, 5 and 20 s does not wake the follower (1 s failed with the old holds).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,8 +27,6 @@
     constexpr Millis kReturnTime { 2000 };
     /// Share of the allowed repeat ratio that is used; the rest covers windows that fall unevenly.
     constexpr double kRatioShare = 0.85;
-    /// Share of the time for reactions that passes between two readings of the registry.
-    constexpr double kPauseShare = 0.4;
     /// Instances assumed until the fleet is known: many, so that budgets and connections start small.
     constexpr uint32_t kAssumedInstances = 60;
     constexpr std::string_view kStatusPath = "/status";
@@ -78,18 +76,13 @@
     uv_loop_init(&loop_);
     makeDispatcher();
     callers_ = std::make_unique<HttpServer>(&loop_, *this, clock_);
-    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, readingPause(), *this);
+    registry_ = std::make_unique<RegistryClient>(&loop_, clock_, settings_.registry, readingPace(), *this);
     makePeers();
 }
 
-Millis Gateway::reactionTime() const
+ReadingPace Gateway::readingPace() const
 {
-    return std::min(settings_.drainReaction, settings_.configReaction);
-}
-
-Millis Gateway::readingPause() const
-{
-    return std::chrono::duration_cast<Millis>(reactionTime() * kPauseShare);
+    return ReadingPace::forReaction(std::min(settings_.drainReaction, settings_.configReaction));
 }
 
 void Gateway::makeDispatcher()
@@ -124,10 +117,10 @@
             peers.push_back(seed);
     }
     const size_t offset = peers.empty() ? 0 : std::hash<std::string> {}(settings_.name) % peers.size();
-    const Millis maxAge = SourceChoice::maxAge(reactionTime(), readingPause());
-    sources_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now(), maxAge);
+    const ReadingPace pace = readingPace();
+    sources_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now(), pace.maxAge);
     peerServer_ = std::make_unique<PeerServer>(&loop_, clock_, *this, fleet_, instances_, *this);
-    follower_ = std::make_unique<PeerFollower>(&loop_, clock_, self(), std::move(peers), isReader_, *sources_);
+    follower_ = std::make_unique<PeerFollower>(&loop_, clock_, self(), std::move(peers), isReader_, pace.followerHold, *sources_);
     follower_->setHandlers([this](const ChangesReply& reply) { return onPeerReply(reply); },
         [this](const Endpoint& peer, const std::string& reason) { log_.out().warn("event=dependency_lost name=peer address={} reason={}", peer.text(), reason); });
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,8 +40,7 @@
     bool onPeerReply(const ChangesReply& reply);
     void applyPeerReplicas(const ChangesReply& reply);
 
-    Millis reactionTime() const;
-    Millis readingPause() const;
+    ReadingPace readingPace() const;
     void makeDispatcher();
     void makePeers();
     bool bindAll();
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -7,9 +7,7 @@
 
 namespace {
 
-    /// Time for which a follower's call is held. Added to a reader's pause it stays below the age at which
-    /// a follower reads for itself; with the slack below it bounds how long a frozen reader goes unnoticed.
-    constexpr Millis kHold { 600 };
+    /// Wait beyond the hold; with it, it bounds how long a frozen reader goes unnoticed.
     constexpr Millis kHoldSlack { 700 };
     constexpr Millis kConnectTimeout { 300 };
     /// Time between two calls of a reader to another one.
@@ -113,12 +111,13 @@
     server.sweep();
 }
 
-PeerFollower::PeerFollower(uv_loop_t* loop, const ClockI& clock, InstanceInfo self, std::vector<Endpoint> peers, bool isReader, SourceChoice& sources)
+PeerFollower::PeerFollower(uv_loop_t* loop, const ClockI& clock, InstanceInfo self, std::vector<Endpoint> peers, bool isReader, Millis hold, SourceChoice& sources)
     : loop_(loop)
     , clock_(clock)
     , self_(std::move(self))
     , peers_(std::move(peers))
     , isReader_(isReader)
+    , hold_(hold)
     , sources_(sources)
     , positions_(peers_.size())
     , digests_(peers_.size())
@@ -145,7 +144,7 @@
         return;
     const int followed = sources_.peer(now);
     if (followed >= 0) {
-        call(static_cast<size_t>(followed), kHold);
+        call(static_cast<size_t>(followed), hold_);
     } else if (isReader_ && now >= nextSurveyAt_) {
         nextSurveyAt_ = now + kSurveyPeriod;
         nextSurvey_ = (nextSurvey_ + 1) % peers_.size();
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -72,7 +72,7 @@
     using ReplyHandler = std::function<bool(const ChangesReply&)>;
     using LossHandler = std::function<void(const Endpoint&, const std::string& reason)>;
 
-    PeerFollower(uv_loop_t* loop, const ClockI& clock, InstanceInfo self, std::vector<Endpoint> peers, bool isReader, SourceChoice& sources);
+    PeerFollower(uv_loop_t* loop, const ClockI& clock, InstanceInfo self, std::vector<Endpoint> peers, bool isReader, Millis hold, SourceChoice& sources);
 
     void setHandlers(ReplyHandler onReply, LossHandler onLoss);
     /// Starts the next call when one is due; to be called at a steady pace.
@@ -96,6 +96,8 @@
     const InstanceInfo self_;
     const std::vector<Endpoint> peers_;
     const bool isReader_;
+    /// For which a reader may hold a call.
+    const Millis hold_;
     SourceChoice& sources_;
     ReplyHandler onReply_;
     LossHandler onLoss_;
--- a/src/gateway/registry_client.cpp
+++ b/src/gateway/registry_client.cpp
@@ -11,12 +11,12 @@
 
 } // namespace
 
-RegistryClient::RegistryClient(uv_loop_t* loop, const ClockI& clock, const Endpoint& endpoint, Millis pause, RegistryHandlerI& handler)
+RegistryClient::RegistryClient(uv_loop_t* loop, const ClockI& clock, const Endpoint& endpoint, const ReadingPace& pace, RegistryHandlerI& handler)
     : loop_(loop)
     , clock_(clock)
     , endpoint_(endpoint)
     , handler_(handler)
-    , sync_(pause)
+    , sync_(pace)
 {
 }
 
--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -8,9 +8,6 @@
 
     /// Longest wait for a page; the registry answers in milliseconds when well.
     constexpr Millis kPageLimit { 1000 };
-    /// Time for which a reading of changes is held open. Every replica reports every second or so, so
-    /// that a longer silence means that the reading misses changes.
-    constexpr Millis kHold { 700 };
     /// Wait beyond the hold for the answer itself.
     constexpr Millis kHoldSlack { 500 };
     /// Pause after the first failure, doubled up to the longest.
@@ -37,8 +34,8 @@
     }
     call.kind = RegistryCall::Kind::Changes;
     call.afterRevision = revision_;
-    call.hold = kHold;
-    call.limit = kHold + kHoldSlack;
+    call.hold = hold_;
+    call.limit = hold_ + kHoldSlack;
     return call;
 }
 
--- a/src/process/registry_sync.h
+++ b/src/process/registry_sync.h
@@ -2,7 +2,7 @@
 
 /// Keeps a copy of the registry in step: decides which call to make next and when. No I/O.
 
-#include "limpettrestle/routing.h"
+#include "reading_pace.h"
 
 namespace limpettrestle {
 
@@ -50,9 +50,9 @@
 
 class RegistrySync {
 public:
-    /// `pause`: time between two readings of changes.
-    explicit RegistrySync(Millis pause)
-        : pause_(pause)
+    explicit RegistrySync(const ReadingPace& pace)
+        : pause_(pace.pause)
+        , hold_(pace.registryHold)
     {
     }
 
@@ -85,7 +85,9 @@
     void finishedChanges(const RegistryResult& result, TimePoint now);
     void failed(const RegistryResult& result, TimePoint now);
 
+    /// Between two readings of changes.
     const Millis pause_;
+    const Millis hold_;
     Mode mode_ = Mode::Reading;
     TimePoint nextCallAt_ {};
     std::string afterKey_;
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-    /// Share of the time for reactions after which knowledge is renewed from the registry; the rest is
-    /// for that reading.
-    constexpr double kMaxAgeShare = 0.8;
-    /// Age that a follower's knowledge reaches beyond its reader's pause in quiet times: the holds of the
-    /// reader's call and of its own, 1.3 s, and both ways.
-    constexpr Millis kUsualAge { 1600 };
     /// Time for which a reader that failed, or that knows old things only, is not asked.
     constexpr Millis kAvoidTime { 3000 };
     /// The same for one whose knowledge is good but older than what this instance knows already.
@@ -34,12 +28,6 @@
 {
 }
 
-Millis SourceChoice::maxAge(Millis reaction, Millis pause)
-{
-    const auto most = std::chrono::duration_cast<Millis>(reaction * kMaxAgeShare);
-    return std::min(most, pause + kUsualAge);
-}
-
 bool SourceChoice::isStarting(TimePoint now) const
 {
     return knownAt_ == TimePoint {} && now - startedAt_ < kStartTime;
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -14,10 +14,6 @@
     /// reads for itself.
     SourceChoice(size_t peers, bool isReader, size_t offset, TimePoint now, Millis maxAge = kLeastMaxAge);
 
-    /// That age, where readers pause for `pause` between two readings and a replica that leaves must get
-    /// no more work after `reaction`.
-    static Millis maxAge(Millis reaction, Millis pause);
-
     /// True while the registry is to be read directly.
     bool readsRegistry(TimePoint now) const;
     /// Reader to follow at present; -1 when none is worth asking.
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -17,6 +17,14 @@
 
 const TimePoint kStart = TimePoint(std::chrono::hours(1));
 
+ReadingPace paceOf(Millis pause)
+{
+    ReadingPace pace;
+    pace.pause = pause;
+    pace.registryHold = Millis(700);
+    return pace;
+}
+
 } // namespace
 
 TEST_CASE("a follower leaves the registry alone while its reader knows fresh things")
@@ -28,16 +36,17 @@
     CHECK(sources.readsRegistry(kStart + Millis(2200)));
 }
 
-TEST_CASE("a follower waits for a reader that pauses longer, within the time for reactions")
+TEST_CASE("a follower waits for its reader's usual cycle, within the time for reactions")
 {
-    const Millis pause(2000);
-    const Millis maxAge = SourceChoice::maxAge(Millis(5000), pause);
-    SourceChoice sources(2, false, 0, kStart, maxAge);
-    sources.peerAnswered(0, Millis(0), kStart + Millis(100));
-    // Pause, hold of the reader's call and hold of the follower's.
-    CHECK_FALSE(sources.readsRegistry(kStart + Millis(100) + pause + Millis(1300)));
-    CHECK(sources.readsRegistry(kStart + Millis(100) + Millis(4001)));
-    CHECK(SourceChoice::maxAge(Millis(3000), Millis(1200)) == Millis(2400));
+    for (const Millis reaction : { Millis(1000), Millis(3000), Millis(5000), Millis(20000) }) {
+        INFO(reaction.count());
+        const ReadingPace pace = ReadingPace::forReaction(reaction);
+        SourceChoice sources(2, false, 0, kStart, pace.maxAge);
+        const TimePoint known = kStart + Millis(100);
+        sources.peerAnswered(0, Millis(0), known);
+        CHECK_FALSE(sources.readsRegistry(known + pace.pause + pace.followerHold + Millis(200)));
+        CHECK(sources.readsRegistry(known + std::chrono::duration_cast<Millis>(reaction * 0.8) + Millis(1)));
+    }
 }
 
 TEST_CASE("an instance that starts waits for a reader, but not for long")
@@ -187,7 +196,7 @@
 
 TEST_CASE("a registry reading starts with all pages and follows the revision of the first")
 {
-    RegistrySync sync(Millis(1000));
+    RegistrySync sync(paceOf(Millis(1000)));
     sync.restart(kStart);
     RegistryResult page;
     page.outcome = RegistryOutcome::Done;
@@ -208,7 +217,7 @@
 TEST_CASE("lost history and a reading that hears nothing lead to a full reading at once")
 {
     for (const bool isLost : { true, false }) {
-        RegistrySync sync(Millis(1000));
+        RegistrySync sync(paceOf(Millis(1000)));
         sync.restart(kStart);
         RegistryResult result;
         result.outcome = RegistryOutcome::Done;
@@ -224,7 +233,7 @@
 
 TEST_CASE("an answer that was cut short is followed by the next call at once")
 {
-    RegistrySync sync(Millis(2000));
+    RegistrySync sync(paceOf(Millis(2000)));
     sync.restart(kStart);
     RegistryResult result;
     result.outcome = RegistryOutcome::Done;
@@ -246,7 +255,7 @@
 TEST_CASE("after a long time away everything is read anew, after a short one changes are followed")
 {
     for (const Millis away : { Millis(300), Millis(5000) }) {
-        RegistrySync sync(Millis(1000));
+        RegistrySync sync(paceOf(Millis(1000)));
         sync.restart(kStart);
         RegistryResult result;
         result.outcome = RegistryOutcome::Done;
@@ -277,7 +286,7 @@
 
 TEST_CASE("failures space the calls out, and the first success tells that the registry is back")
 {
-    RegistrySync sync(Millis(1000));
+    RegistrySync sync(paceOf(Millis(1000)));
     sync.restart(kStart);
     RegistryResult failed;
     TimePoint now = kStart;
@@ -439,7 +448,7 @@
         NewsServer news(&loop, clock);
         REQUIRE(news.server.listen("127.0.0.1", port));
         SourceChoice sources(1, false, 0, clock.now());
-        PeerFollower follower(&loop, clock, { "n1", "north", "127.0.0.1", 1 }, { { "127.0.0.1", port } }, false, sources);
+        PeerFollower follower(&loop, clock, { "n1", "north", "127.0.0.1", 1 }, { { "127.0.0.1", port } }, false, Millis(100), sources);
         follower.setHandlers([isTaken](const ChangesReply&) { return isTaken; }, [](const Endpoint&, const std::string&) {});
         const TimePoint end = clock.now() + Millis(2000);
         while (news.asked.size() < 2 && clock.now() < end) {
