--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,6 +68,7 @@
     void updateFleetSize();
     void updateInstances();
     HttpResponse readinessPage(const HttpRequest& request) const;
+    HttpResponse operatorPage(const HttpRequest& request);
     HttpResponse metricsPage();
     HttpResponse statusPage() const;
 
--- a/src/process/fleet_size.h
+++ b/src/process/fleet_size.h
@@ -11,6 +11,9 @@
 
 class FleetSize {
 public:
+    /// Instances assumed until the fleet is known: many, so that budgets and connections start small.
+    static constexpr uint32_t kAssumed = 60;
+
     /// `assumed`: taken until the first reader has told.
     explicit FleetSize(uint32_t assumed)
         : assumed_(assumed)
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher_p.h"
 
+#include "../process/fleet_size.h"
 #include "record_merge.h"
 
 #include <fmt/format.h>
@@ -18,8 +19,6 @@
     constexpr Millis kRetryLater { 100 };
     /// A call whose request is answered may still end by itself for so long.
     constexpr Millis kAbandonGrace { 100 };
-    /// Instances assumed until the fleet is known: many, so that budgets and connections start small.
-    constexpr uint32_t kAssumedInstances = 60;
     /// Instances that may join at any moment: a share of those known, and a number.
     constexpr uint32_t kJoiningShare = 10;
     constexpr uint32_t kJoining = 2;
@@ -54,7 +53,7 @@
 {
     subset_.instance = init.instance;
     subset_.zone = init.zone;
-    setFleetSize(kAssumedInstances);
+    setFleetSize(FleetSize::kAssumed);
 }
 
 Dispatcher::~Dispatcher() = default;
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -25,8 +25,6 @@
     /// run only once.
     constexpr double kLossCostRepeatable = 3;
     constexpr double kLossCostOnce = 30;
-    /// Least time left for which a call is worth sending.
-    constexpr Millis kMinTimeLeft { 5 };
 
     constexpr int kServiceUnavailable = 503;
 
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -13,8 +13,6 @@
     constexpr int kMaxGroupDelayShare = 4;
     /// A group that is so late comes from an instance that is down or starved.
     constexpr Millis kSuspiciousDelay { 20 };
-    /// Least time before the objective for which a missing part is worth a direct call.
-    constexpr Millis kMinTimeLeft { 5 };
 
 } // namespace
 
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -9,6 +9,9 @@
 
 namespace limpettrestle {
 
+/// Least time left for which a call is worth sending.
+constexpr Millis kMinTimeLeft { 5 };
+
 /// What is known of the calls of one route, over all versions of the configuration.
 struct Dispatcher::RouteState {
     RouteState(Micros firstMean, int window)
