After a reading of its own a follower waits for the readers' next one

Change: a reader that is passed over for its age is still one to follow; only one that failed is not. Test: after an own reading and two refusals the registry is left alone.

--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -35,7 +35,8 @@
 
 bool SourceChoice::hasFreshPeer(TimePoint now) const
 {
-    return now - peerKnownAt_ <= maxAge_;
+    const bool hasPeer = std::any_of(peers_.begin(), peers_.end(), [now](const Peer& peer) { return now >= peer.avoidUntil; });
+    return hasPeer && now - peerKnownAt_ <= maxAge_;
 }
 
 bool SourceChoice::readsRegistry(TimePoint now) const
@@ -44,7 +45,7 @@
         return true;
     if (isStarting(now))
         return false;
-    return peer(now) < 0 || !hasFreshPeer(now);
+    return !hasFreshPeer(now);
 }
 
 int SourceChoice::peer(TimePoint now) const
@@ -54,7 +55,7 @@
         return -1;
     for (size_t i = 0; i < peers_.size(); ++i) {
         const size_t index = (offset_ + i) % peers_.size();
-        if (now >= peers_[index].avoidUntil)
+        if (now >= peers_[index].avoidUntil && now >= peers_[index].passedOverUntil)
             return static_cast<int>(index);
     }
     return -1;
@@ -71,10 +72,14 @@
 
 void SourceChoice::peerPassedOver(int peer, Millis age, TimePoint now)
 {
-    const bool isFresh = age <= maxAge_;
-    if (isFresh)
-        peerKnownAt_ = std::max(peerKnownAt_, now - age);
-    peers_[static_cast<size_t>(peer)].avoidUntil = now + (isFresh ? kPassedOverTime : kAvoidTime);
+    Peer& passed = peers_[static_cast<size_t>(peer)];
+    if (age > maxAge_) {
+        passed.avoidUntil = now + kAvoidTime;
+        return;
+    }
+    // It is good to follow once it has read again.
+    peerKnownAt_ = std::max(peerKnownAt_, now - age);
+    passed.passedOverUntil = now + kPassedOverTime;
 }
 
 void SourceChoice::peerFailed(int peer, TimePoint now)
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -40,8 +40,10 @@
 
     struct Peer {
         TimePoint avoidUntil {};
+        TimePoint passedOverUntil {};
     };
 
+    /// A reader that has not failed lately has told fresh things.
     bool hasFreshPeer(TimePoint now) const;
     bool isStarting(TimePoint now) const;
 
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -400,6 +400,18 @@
     CHECK(sources.peer(now + Millis(301)) == 1);
 }
 
+TEST_CASE("after a reading of its own a follower waits for the readers' next one")
+{
+    SourceChoice sources(2, false, 0, kStart);
+    sources.registryAnswered(kStart + Millis(1000));
+    const TimePoint now = kStart + Millis(1100);
+    sources.peerPassedOver(0, Millis(1500), now);
+    sources.peerPassedOver(1, Millis(900), now);
+    CHECK(sources.peer(now) == -1);
+    CHECK_FALSE(sources.readsRegistry(now));
+    CHECK(sources.readsRegistry(now + Millis(2400)));
+}
+
 TEST_CASE("a reader that only asks for numbers knows nothing younger by it")
 {
     SourceChoice reader(1, true, 0, kStart);
