--- a/tests/gather_test.cpp
+++ b/tests/gather_test.cpp
@@ -14,6 +14,17 @@
 constexpr size_t kShards = 40;
 constexpr uint64_t kRequest = 1;
 
+/// Zone of eight instances n0 to n7.
+std::vector<InstanceInfo> zoneOfEight()
+{
+    constexpr int kInstances = 8;
+    std::vector<InstanceInfo> zone;
+    zone.reserve(kInstances);
+    for (int i = 0; i < kInstances; ++i)
+        zone.push_back({ "n" + std::to_string(i), "north", "10.0.0.1", i + 1 });
+    return zone;
+}
+
 /// Records groups and leaves their answers to the test.
 class TestGroups final : public GroupTransportI {
 public:
@@ -40,10 +51,7 @@
         : plan({ "n0", 0.1 })
         , bed(100, &plan, &groups)
     {
-        std::vector<InstanceInfo> zone;
-        for (int i = 0; i < 8; ++i)
-            zone.push_back({ "n" + std::to_string(i), "north", "10.0.0.1", i + 1 });
-        plan.setInstances(zone);
+        plan.setInstances(zoneOfEight());
         bed.useStandardRoutes(kShards, RepeatPolicy::Idempotent, minCoverage);
     }
 
@@ -277,10 +285,7 @@
     RoutingBed bed(kSlack / RoutingBed::kSlackPerBurst, &plan, &groups);
     plan.setFleetSize(kFleet);
     bed.dispatcher->setFleetSize(kFleet);
-    std::vector<InstanceInfo> zone;
-    for (int i = 0; i < 8; ++i)
-        zone.push_back({ "n" + std::to_string(i), "north", "10.0.0.1", i + 1 });
-    plan.setInstances(zone);
+    plan.setInstances(zoneOfEight());
     bed.useStandardRoutes(kShards, RepeatPolicy::Idempotent);
     std::map<bool, size_t> repeats;
     for (const bool isGatherer : { true, false }) {
