One word for the instance that gathers a group: aggregator

Read as a newcomer: gatherer and aggregator named the same thing. Names only; tests pass, no measured run.

--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -27,7 +27,7 @@
     constexpr double kLeastBurst = 1;
     /// Share of the saved-up repeats that the instances have which gather a service for all others, and the
     /// share that the others keep for calls where these have failed.
-    constexpr double kGathererShare = 0.4;
+    constexpr double kAggregatorShare = 0.4;
     constexpr double kOthersShare = 0.5;
     /// Trail of decisions in a report, bytes at most.
     constexpr size_t kMaxTrail = 600;
@@ -73,10 +73,10 @@
 
 double Dispatcher::repeatBurst(const std::string& service) const
 {
-    const uint32_t gatherers = init_.plan != nullptr ? init_.plan->gatherersOf(service) : 0;
-    if (gatherers == 0 || repeatBurst_ == 0)
+    const uint32_t aggregators = init_.plan != nullptr ? init_.plan->aggregatorsOf(service) : 0;
+    if (aggregators == 0 || repeatBurst_ == 0)
         return repeatBurst_;
-    const double share = init_.plan->gathers(service) ? init_.repeatSlack * kGathererShare / gatherers : repeatBurst_ * kOthersShare;
+    const double share = init_.plan->aggregates(service) ? init_.repeatSlack * kAggregatorShare / aggregators : repeatBurst_ * kOthersShare;
     return std::max(kLeastBurst, share);
 }
 
--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -185,7 +185,7 @@
     return !divided_.contains(service) || own_.contains(service);
 }
 
-uint32_t GatherPlan::gatherersOf(const std::string& service) const
+uint32_t GatherPlan::aggregatorsOf(const std::string& service) const
 {
     if (!divided_.contains(service) || instances_.empty())
         return 0;
@@ -197,7 +197,7 @@
 
 uint32_t GatherPlan::sharersOf(const std::string& service) const
 {
-    return gatherersOf(service) * kSharersReserve;
+    return aggregatorsOf(service) * kSharersReserve;
 }
 
 } // namespace limpettrestle
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -53,9 +53,9 @@
     /// or because the service is not divided.
     bool callsDirectly(const std::string& service) const;
     /// True when this instance is one of the few that call the service's replicas for all others.
-    bool gathers(const std::string& service) const { return divided_.contains(service) && own_.contains(service); }
+    bool aggregates(const std::string& service) const { return divided_.contains(service) && own_.contains(service); }
     /// Number of those instances in all zones; 0 when the service is not divided.
-    uint32_t gatherersOf(const std::string& service) const;
+    uint32_t aggregatorsOf(const std::string& service) const;
     /// Instances that share the connections of the service's replicas; 0 when all of them do.
     uint32_t sharersOf(const std::string& service) const;
 
--- a/tests/gather_test.cpp
+++ b/tests/gather_test.cpp
@@ -288,10 +288,10 @@
     plan.setInstances(zoneOfEight());
     bed.useStandardRoutes(kShards, RepeatPolicy::Idempotent);
     std::map<bool, size_t> repeats;
-    for (const bool isGatherer : { true, false }) {
+    for (const bool isAggregator : { true, false }) {
         std::string shard;
         for (size_t i = 0; i < kShards; ++i) {
-            if (plan.gathers("s" + std::to_string(i)) == isGatherer)
+            if (plan.aggregates("s" + std::to_string(i)) == isAggregator)
                 shard = "s" + std::to_string(i);
         }
         REQUIRE_FALSE(shard.empty());
@@ -304,16 +304,16 @@
             group.wantedWithin = Millis(50);
             group.timeLeft = Millis(100);
             group.maxAttempts = 2;
-            bed.dispatcher->gather(request + (isGatherer ? 100 : 200), group);
+            bed.dispatcher->gather(request + (isAggregator ? 100 : 200), group);
             bed.fail(bed.transport.calls.size() - 1, CallFailure::Lost);
         }
-        repeats[isGatherer] = bed.transport.calls.size() - before - kSearches;
+        repeats[isAggregator] = bed.transport.calls.size() - before - kSearches;
     }
     const double ratio = 30 * 0.2;
     CHECK(static_cast<double>(repeats[true]) >= ratio + 7);
     CHECK(static_cast<double>(repeats[false]) <= ratio + 5);
     // What all may save up together stays within what is allowed.
-    const uint32_t gatherers = plan.gatherersOf("s0");
-    const double all = gatherers * (static_cast<double>(repeats[true]) - ratio) + (kFleet - gatherers) * (static_cast<double>(repeats[false]) - ratio);
+    const uint32_t aggregators = plan.aggregatorsOf("s0");
+    const double all = aggregators * (static_cast<double>(repeats[true]) - ratio) + (kFleet - aggregators) * (static_cast<double>(repeats[false]) - ratio);
     CHECK(all <= kSlack);
 }
