A gateway whose address is taken says so; test ports are out of the way

Its address was free when the test chose it and is from the range of outgoing connections, of which two runs with eight gateways make many; the process ended at the failed bind, and its line stayed in the buffer. Shown by: a gateway started on a taken address ends with 1 and an empty log. That this was n3's end follows from the empty log, it was not seen itself. Change: the log is written out before that exit; the tests take ports below the outgoing range, each once a run. Test taken_address: no line before, one after.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -116,8 +116,10 @@
 int Gateway::run()
 {
     signal(SIGPIPE, SIG_IGN);
-    if (!bindAll())
+    if (!bindAll()) {
+        log_.writeOut();
         return 1;
+    }
     startTimers();
     registry_->start();
     chooseSource();
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,8 @@
 BUILD = os.environ.get("LIMPETTRESTLE_BUILD", os.path.join(ROOT, "build"))
 SHARDS = 6
 WAIT = 10.0
+# Ports that this run has given out.
+TAKEN = set()
 
 
 def require(condition, what):
@@ -40,12 +43,20 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind((HOST, 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
+    """Ports that no outgoing connection takes meanwhile: below the range that the kernel gives those."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as text:
+        first_outgoing = int(text.read().split()[0])
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(first_outgoing // 2, first_outgoing)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports and port not in TAKEN:
+            ports.append(port)
+    TAKEN.update(ports)
     return ports
 
 
@@ -302,6 +313,20 @@
     require(bed.gateways[0].request("/all/q", "after")[0] == 200, "others are served")
 
 
+def taken_address(bed):
+    """A gateway whose address is taken says so and ends with an error."""
+    victim = bed.gateways[2]
+    victim.process.kill()
+    victim.process.wait()
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((HOST, victim.caller))
+        holder.listen()
+        victim.start()
+        require(victim.process.wait(timeout=WAIT) == 1, "ends with 1")
+    require(victim.lines("bind_failed"), "the address is named")
+
+
 def divided_searches(bed):
     """Instances with little processor time divide searches; a killed and a suspended one cost little."""
     sender = bed.gateways[0]
@@ -332,7 +357,7 @@
 
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load,
-         suspended_instance_comes_back, bad_requests, divided_searches]
+         suspended_instance_comes_back, bad_requests, taken_address, divided_searches]
 # Tests that need other instances than the usual ones.
 BEDS = {divided_searches: {"gateways": 8, "processor_share": 0.001}}
 
