A divided search of which parts have run is not said not to have run

Cause: parts that a group brought counted no run at the sender; when the part that was missing had not run either, coverage fell short and the answer was 503, a promise that nothing ran, though other shards had. Ruled out: requests that may run once (never divided). Change: a part that came with a group has run. Test: 503 before, 502 after.

--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -123,6 +123,8 @@
             if (taken == 0)
                 part.reply.body = std::move(reply.records);
             ++taken;
+            part.runs = 1;
+            part.arrivals = 1;
             part.state = PartState::Done;
             ++open.done;
         } else {
--- a/tests/gather_test.cpp
+++ b/tests/gather_test.cpp
@@ -118,6 +118,21 @@
     CHECK(answer.answer.missing[0].service == tried);
 }
 
+TEST_CASE("a divided search of which parts have run is never said not to have run")
+{
+    GatherBed test(1.0);
+    test.bed.start(kRequest, "/all/q");
+    test.answerAllBut(0);
+    const TestGroups::Sent& group = test.groups.sent[0];
+    // Nothing ran for this part, and nothing can: its replicas have left.
+    const std::string& shard = group.request.shards[0];
+    test.bed.directory.remove(shard + "-a", test.bed.clock.now());
+    test.bed.directory.remove(shard + "-b", test.bed.clock.now());
+    test.bed.dispatcher->groupAnswered(group.id, GatherBed::replyTo(group.request, { { shard, ResultCode::NoReplicaReachable, 0 } }));
+    REQUIRE(test.bed.isAnswered(kRequest));
+    CHECK(test.bed.only(kRequest).answer.status == 502);
+}
+
 TEST_CASE("a group that did not reach its instance is called directly")
 {
     GatherBed test;
