Bounds of groups are worked out in one place

Found on the last reading: the same division stood in divide() and in findOwnShards(), which must agree; an include was unused.

--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -74,6 +74,17 @@
     return std::clamp<size_t>(balanced, 1, std::max<size_t>(1, instances_.size()));
 }
 
+std::vector<GatherGroup> GatherPlan::boundsOf(size_t shards) const
+{
+    const size_t count = groupsOf(shards);
+    std::vector<GatherGroup> groups(count);
+    for (size_t i = 0; i < count; ++i) {
+        groups[i].first = i * shards / count;
+        groups[i].count = (i + 1) * shards / count - groups[i].first;
+    }
+    return groups;
+}
+
 std::vector<const InstanceInfo*> GatherPlan::candidatesOf(std::string_view key) const
 {
     std::vector<std::pair<uint64_t, const InstanceInfo*>> ranked;
@@ -115,15 +126,13 @@
     // Decided by service, so that routes over the same shards share connections.
     if (!divided_.contains(route.shards.front()))
         return groups;
-    const size_t shards = route.shards.size();
-    const size_t count = groupsOf(shards);
-    for (size_t i = 0; i < count; ++i) {
-        const size_t first = i * shards / count;
-        const size_t last = (i + 1) * shards / count;
-        const InstanceInfo* aggregator = choose(route.shards[first], now);
+    for (GatherGroup& group : boundsOf(route.shards.size())) {
+        const InstanceInfo* aggregator = choose(route.shards[group.first], now);
         // The shards of a group without an aggregator are called directly.
-        if (aggregator != nullptr)
-            groups.push_back({ first, last - first, *aggregator });
+        if (aggregator == nullptr)
+            continue;
+        group.aggregator = *aggregator;
+        groups.push_back(std::move(group));
     }
     return groups;
 }
@@ -167,15 +176,11 @@
     for (const RouteSpec& route : routes_) {
         if (isWorthDividing(route))
             divided_.insert(route.shards.begin(), route.shards.end());
-        const size_t shards = route.shards.size();
-        const size_t count = groupsOf(shards);
-        for (size_t i = 0; i < count; ++i) {
-            const size_t first = i * shards / count;
-            const size_t last = (i + 1) * shards / count;
-            const std::vector<const InstanceInfo*> candidates = candidatesOf(route.shards[first]);
+        for (const GatherGroup& group : boundsOf(route.shards.size())) {
+            const std::vector<const InstanceInfo*> candidates = candidatesOf(route.shards[group.first]);
             const bool isOwn = std::any_of(candidates.begin(), candidates.end(), [this](const InstanceInfo* candidate) { return candidate->name == init_.self; });
             if (isOwn)
-                own_.insert(route.shards.begin() + static_cast<std::ptrdiff_t>(first), route.shards.begin() + static_cast<std::ptrdiff_t>(last));
+                own_.insert(route.shards.begin() + static_cast<std::ptrdiff_t>(group.first), route.shards.begin() + static_cast<std::ptrdiff_t>(group.first + group.count));
         }
     }
 }
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -8,7 +8,6 @@
 #include "../version/route_table.h"
 
 #include <absl/container/flat_hash_set.h>
-#include <span>
 
 namespace limpettrestle {
 
@@ -68,6 +67,8 @@
 
     bool isWorthDividing(const RouteSpec& route) const;
     size_t groupsOf(size_t shards) const;
+    /// Groups of so many shards, without their aggregators.
+    std::vector<GatherGroup> boundsOf(size_t shards) const;
     std::vector<const InstanceInfo*> candidatesOf(std::string_view key) const;
     const InstanceInfo* choose(std::string_view key, TimePoint now) const;
     void findOwnShards();
