Replicas are told to other instances only where they would be taken over

What callers saw: on large fleets, slower and fewer answers from the three instances that read the registry.

A reader that asks another one for its numbers every 1.5 s never takes anything over, and so was told the whole list and the configuration each time; a follower that reads for itself, or knows younger things, likewise.

Change: a call says up to which age knowledge is taken over (none for a reader that the registry answers) and the version of the configuration in force. The reader leaves out replicas that are older, counting the time for which it held the call, and a configuration that is known. SourceChoice decides both ends by one function. Calls without the fields are answered as before.

What is left at 300 is by number of followers: a reader answers 100 of them each cycle.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -456,11 +456,12 @@
 void Gateway::applyConfig(RoutingDocument document, std::string_view source)
 {
     const uint64_t version = document.version;
-    const uint64_t before = dispatcher_->table() ? dispatcher_->table()->version() : 0;
+    const uint64_t before = configVersion();
     const size_t routes = document.routes.size();
     if (version <= before || !dispatcher_->useTable(std::make_shared<const RouteTable>(std::move(document))))
         return;
     changes_.configChanged();
+    follower_->setConfigVersion(version);
     callers_->setLimits(dispatcher_->table()->limits());
     log_.out().info("event=config_in_force version={} before={} routes={} source={}", version, before, routes, source);
 }
@@ -487,7 +488,7 @@
         instances_.stillTold(reply.sender, now);
     if (reply.config)
         applyConfig(*reply.config, reply.sender);
-    const bool isTaken = sources_->takesReplicas(registry_->isActive(), reply.age, now);
+    const bool isTaken = reply.tellsReplicas && sources_->takesReplicas(registry_->isActive(), reply.age, now);
     if (isTaken)
         applyPeerReplicas(reply);
     else if (!isReader_)
@@ -543,11 +544,21 @@
             reply.written.push_back(replica->entry);
     }
     reply.removed = changes.removed;
-    if (changes.hasConfig && dispatcher_->table())
+    if (changes.hasConfig && configVersion() > request.configVersion)
         reply.config = dispatcher_->table()->document();
     return reply;
 }
 
+Millis Gateway::age() const
+{
+    return sources_->age(clock_.now());
+}
+
+uint64_t Gateway::configVersion() const
+{
+    return dispatcher_->table() ? dispatcher_->table()->version() : 0;
+}
+
 bool Gateway::isReady() const
 {
     return !isLeaving_ && hasDirectory_ && dispatcher_->table() != nullptr && !reachability_.isCutOff();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,11 +32,14 @@
 
     bool hasKnowledge() const override;
     const ChangeLog& changes() const override { return changes_; }
+    Millis age() const override;
     ChangesReply describe(const ChangeSet& changes, const ChangesRequest& request) const override;
     void onGroup(ExchangeId exchange, GroupRequest request) override;
     void onGroupLeft(ExchangeId exchange) override;
     void answerGroup(ExchangeId exchange, RouteAnswer answer, const RequestReport& report);
     InstanceInfo self() const;
+    /// Version of the configuration in force; 0 when there is none.
+    uint64_t configVersion() const;
     bool onPeerReply(const ChangesReply& reply);
     void applyPeerReplicas(const ChangesReply& reply);
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -39,7 +39,7 @@
     }
     const std::optional<ChangesRequest> changes = decodeTarget(request.target);
     if (!changes) {
-        refuse(exchange, "expected /changes?run=R&after=N&hold=MS&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST\n");
+        refuse(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST\n");
         return;
     }
     const TimePoint now = clock_.now();
@@ -48,10 +48,11 @@
         instances_.seen(changes->follower, now);
     }
     const bool hasNews = knowledge_.hasKnowledge() && changes->after != knowledge_.changes().position();
+    const Waiting entry { exchange, *changes, now, now + changes->hold };
     if (hasNews || changes->hold == Millis::zero())
-        answer(exchange, *changes);
+        answer(entry);
     else
-        waiting_.push_back({ exchange, *changes, now + changes->hold });
+        waiting_.push_back(entry);
 }
 
 void PeerServer::refuse(ExchangeId exchange, std::string problem)
@@ -68,18 +69,27 @@
     std::erase_if(waiting_, [exchange](const Waiting& entry) { return entry.exchange == exchange; });
 }
 
-void PeerServer::answer(ExchangeId exchange, const ChangesRequest& request)
+void PeerServer::answer(const Waiting& entry)
 {
+    const ChangesRequest& request = entry.request;
     HttpResponse response;
     if (knowledge_.hasKnowledge()) {
         response.status = 200;
         response.headers.push_back({ "Content-Type", "application/json" });
-        response.body = encode(knowledge_.describe(knowledge_.changes().changesAfter(request.after), request));
+        // The asking instance's own knowledge has grown older meanwhile.
+        const Millis waited = std::chrono::duration_cast<Millis>(clock_.now() - entry.askedAt);
+        const bool isWanted = request.acceptableAge >= Millis::zero() && knowledge_.age() <= request.acceptableAge + waited;
+        ChangeSet changes = knowledge_.changes().changesAfter(request.after);
+        if (!isWanted)
+            changes.leaveOutReplicas();
+        ChangesReply reply = knowledge_.describe(changes, request);
+        reply.tellsReplicas = isWanted;
+        response.body = encode(reply);
     } else {
         response.status = 503;
         response.body = "error 204 not_ready\n";
     }
-    server.respond(exchange, std::move(response));
+    server.respond(entry.exchange, std::move(response));
 }
 
 void PeerServer::tellNews()
@@ -94,7 +104,7 @@
         return entry.request.after != position;
     });
     for (const Waiting& entry : due)
-        answer(entry.exchange, entry.request);
+        answer(entry);
 }
 
 void PeerServer::sweep()
@@ -107,7 +117,7 @@
         return entry.until <= now;
     });
     for (const Waiting& entry : due)
-        answer(entry.exchange, entry.request);
+        answer(entry);
     server.sweep();
 }
 
@@ -173,7 +183,8 @@
     isCalling_ = true;
     isOutdated_ = false;
     connectedTo_ = peer;
-    request_ = { positions_[peer], hold, isReader_ ? InstanceInfo {} : self_, digests_[peer] };
+    const bool isReading = sources_.readsRegistry(clock_.now());
+    request_ = { positions_[peer], hold, sources_.acceptableAge(isReading, clock_.now()), configVersion_, isReader_ ? InstanceInfo {} : self_, digests_[peer] };
     callLimit_ = clock_.now() + hold + kHoldSlack;
     if (connection_ == nullptr)
         connection_ = HttpClientConnection::open(loop_, peers_[peer].host, peers_[peer].port, kConnectTimeout, *this);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -21,6 +21,8 @@
     /// False until the instance knows replicas and configuration.
     virtual bool hasKnowledge() const = 0;
     virtual const ChangeLog& changes() const = 0;
+    /// Time since the knowledge about replicas left the registry.
+    virtual Millis age() const = 0;
     /// Fills in entries, configuration, age, numbers and instances of the fleet.
     virtual ChangesReply describe(const ChangeSet& changes, const ChangesRequest& request) const = 0;
 };
@@ -51,10 +53,11 @@
     struct Waiting {
         ExchangeId exchange = 0;
         ChangesRequest request;
+        TimePoint askedAt {};
         TimePoint until {};
     };
 
-    void answer(ExchangeId exchange, const ChangesRequest& request);
+    void answer(const Waiting& entry);
     void refuse(ExchangeId exchange, std::string problem);
 
     const ClockI& clock_;
@@ -74,6 +77,8 @@
 
     PeerFollower(uv_loop_t* loop, const ClockI& clock, InstanceInfo self, std::vector<Endpoint> peers, bool isReader, Millis hold, SourceChoice& sources);
 
+    /// Version of the configuration in force, told with each call.
+    void setConfigVersion(uint64_t version) { configVersion_ = version; }
     void setHandlers(ReplyHandler onReply, LossHandler onLoss);
     /// Starts the next call when one is due; to be called at a steady pace.
     void step();
@@ -101,6 +106,7 @@
     SourceChoice& sources_;
     ReplyHandler onReply_;
     LossHandler onLoss_;
+    uint64_t configVersion_ = 0;
     std::vector<ChangePosition> positions_;
     /// Digest of the instances that each peer has told.
     std::vector<uint64_t> digests_;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -136,7 +136,8 @@
 
 std::string encodeTarget(const ChangesRequest& request)
 {
-    std::string target = fmt::format("{}run={}&after={}&hold={}&instances={}", kPath, request.after.run, request.after.number, request.hold.count(), request.instances);
+    std::string target = fmt::format("{}run={}&after={}&hold={}&age={}&config={}&instances={}", kPath, request.after.run, request.after.number, request.hold.count(),
+        request.acceptableAge.count(), request.configVersion, request.instances);
     const InstanceInfo& follower = request.follower;
     if (!follower.name.empty())
         fmt::format_to(std::back_inserter(target), "&name={}&zone={}&address={}:{}", follower.name, follower.zone, follower.host, follower.port);
@@ -151,6 +152,7 @@
     bool isGood = true;
     eachField(std::string_view(target).substr(kPath.size()), [&](std::string_view name, std::string_view value) {
         int64_t hold = 0;
+        int64_t age = 0;
         if (name == "run") {
             isGood &= parseNumber(value, request.after.run);
         } else if (name == "after") {
@@ -158,6 +160,11 @@
         } else if (name == "hold") {
             isGood &= parseNumber(value, hold) && hold >= 0;
             request.hold = Millis(std::min(hold, kMaxHoldMs));
+        } else if (name == "age") {
+            isGood &= parseNumber(value, age);
+            request.acceptableAge = std::min<Millis>(Millis(age), ChangesRequest::kAnyAge);
+        } else if (name == "config") {
+            isGood &= parseNumber(value, request.configVersion);
         } else if (name == "name") {
             request.follower.name = value;
         } else if (name == "zone") {
@@ -178,7 +185,7 @@
     json written = json::array();
     for (const ReplicaEntry& entry : reply.written)
         written.push_back(encodeEntry(entry));
-    json root = { { "run", reply.upTo.run }, { "number", reply.upTo.number }, { "whole", reply.isWhole }, { "age_ms", reply.age.count() },
+    json root = { { "run", reply.upTo.run }, { "number", reply.upTo.number }, { "whole", reply.isWhole }, { "replicas", reply.tellsReplicas }, { "age_ms", reply.age.count() },
         { "sender", reply.sender }, { "following", reply.following }, { "fleet", reply.fleet }, { "instances_digest", reply.instancesDigest }, { "written", written }, { "removed", reply.removed } };
     if (reply.config)
         root["config"] = encodeConfig(*reply.config);
@@ -195,6 +202,7 @@
         ChangesReply reply;
         reply.upTo = { root.at("run").get<uint64_t>(), root.at("number").get<uint64_t>() };
         reply.isWhole = root.at("whole").get<bool>();
+        reply.tellsReplicas = root.value("replicas", true);
         reply.age = Millis(std::max<int64_t>(0, root.at("age_ms").get<int64_t>()));
         reply.sender = root.at("sender").get<std::string>();
         reply.following = root.at("following").get<uint32_t>();
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Messages between instances: a follower asks a reader for what has changed. JSON over HTTP on the
-/// peer address; `GET /changes?run=R&after=N&hold=MS&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST`.
+/// peer address;
+/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST`.
 
 #include "../process/change_log.h"
 #include "../process/instance_directory.h"
@@ -11,9 +12,17 @@
 namespace limpettrestle {
 
 struct ChangesRequest {
+    /// Accepts knowledge of any age.
+    static constexpr Millis kAnyAge = std::chrono::hours(24);
+
     ChangePosition after;
     /// Time for which the answer may be held when nothing has changed.
     Millis hold { 0 };
+    /// Replicas are told only where the knowledge was at most that old when it was asked for; negative
+    /// when none are wanted.
+    Millis acceptableAge = kAnyAge;
+    /// Version of the configuration in force; only a newer one is told.
+    uint64_t configVersion = 0;
     /// The asking instance; without a name where it does not follow.
     InstanceInfo follower;
     /// Digest of the list of instances that it was last told; 0 when there is none.
@@ -23,6 +32,8 @@
 struct ChangesReply {
     ChangePosition upTo;
     bool isWhole = false;
+    /// False where replicas were left out, since the asking instance would not take them over.
+    bool tellsReplicas = true;
     /// Time since the knowledge of the sender left the registry.
     Millis age { 0 };
     std::string sender;
--- a/src/process/change_log.h
+++ b/src/process/change_log.h
@@ -25,6 +25,13 @@
     std::vector<std::string> written;
     std::vector<std::string> removed;
     bool hasConfig = false;
+
+    void leaveOutReplicas()
+    {
+        isWhole = false;
+        written.clear();
+        removed.clear();
+    }
 };
 
 class ChangeLog {
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -98,15 +98,15 @@
     isRegistryAway_ = true;
 }
 
-bool SourceChoice::takesReplicas(bool isReading, Millis age, TimePoint now) const
+Millis SourceChoice::acceptableAge(bool isReading, TimePoint now) const
 {
-    const TimePoint knownAt = now - age;
+    constexpr Millis kNone { -1 };
     // A follower also takes over what is of the same moment: it may change later, when a removal that was
     // put off is carried out. A reader that was suspended tells older things.
     if (!isReading)
-        return knownAt + kSameMoment >= knownAt_;
+        return age(now) + kSameMoment;
     // One that reads for itself takes only what is newer, as long as the registry does not answer.
-    return isRegistryAway_ && knownAt > knownAt_;
+    return isRegistryAway_ ? age(now) - Millis(1) : kNone;
 }
 
 Millis SourceChoice::age(TimePoint now) const
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -27,9 +27,11 @@
     void registryAnswered(TimePoint now);
     void registryFailed(TimePoint now);
 
-    /// True when replicas as a reader told them, known since `age`, are to be taken over. `isReading`:
-    /// this instance reads the registry at present.
-    bool takesReplicas(bool isReading, Millis age, TimePoint now) const;
+    /// Greatest age of knowledge about replicas that is taken over from a reader; negative when none is.
+    /// `isReading`: this instance reads the registry at present.
+    Millis acceptableAge(bool isReading, TimePoint now) const;
+    /// True when replicas as a reader told them, known since `age`, are to be taken over.
+    bool takesReplicas(bool isReading, Millis age, TimePoint now) const { return age <= acceptableAge(isReading, now); }
     /// The registry did not answer the last time it was asked.
     bool isRegistryAway() const { return isRegistryAway_; }
     /// Time since what this instance knows left the registry.
