Instances of a zone that is cut off find out, also where searches are divided

Cause: an instance weighs whether it is cut off by the health of the replicas that it calls. Where searches are divided it calls the shards of one group or none, and all others counted as reached. No instance left the rotation; the balancer looks to other zones only when none of a zone is ready.

Change: ZoneReach. A zone counts as out of reach when two or more of its replicas are and none has answered for 0.5 s. Instances of a zone tell each other (POST /reach, until three tell the same); what two others tell is taken over unless a replica of the zone answers. Reachability counts replicas of such zones as not reached. A divided search that cannot reach its least coverage is refused (503, not run, with when to come back) before a group is sent.

Ruled out: a sample of the own group's shards as measure (a crashed shard would take its instances out of rotation); notices by one instance alone (it may be cut off by itself).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,6 +79,7 @@
     DispatcherInit init;
     init.plan = plan_.get();
     init.groups = gatherLinks_.get();
+    init.reach = &reach_;
     init.clock = &clock_;
     init.transport = links_.get();
     init.answers = this;
@@ -233,8 +234,9 @@
 void Gateway::updateReadiness()
 {
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
-    if (table)
-        reachability_.update(*table, directory_, clock_.now());
+    updateReach();
+    if (table && hasDirectory_)
+        reachability_.update(*table, directory_, reach_, clock_.now());
     if (isReady() == wasReady_)
         return;
     wasReady_ = !wasReady_;
@@ -242,6 +244,29 @@
         table ? table->version() : 0, directory_.size(), isLeaving_, reachability_.isCutOff(), reachability_.routesCut());
 }
 
+void Gateway::updateReach()
+{
+    const TimePoint now = clock_.now();
+    const std::vector<std::string> before = reach_.zonesOut();
+    reach_.update(directory_, now);
+    const std::vector<std::string> out = reach_.zonesOut();
+    const std::vector<std::string> told = reach_.zonesToTell(now);
+    if (out != before)
+        log_.out().info("event=zones_out_of_reach zones={} before={} found={}", fmt::join(out, ","), fmt::join(before, ","), fmt::join(told, ","));
+    if (told.empty())
+        return;
+    const std::string notice = encode(ReachNotice { settings_.name, told });
+    for (const InstanceInfo& instance : instances_.ofZone(settings_.zone, now)) {
+        if (instance.name != settings_.name)
+            gatherLinks_->notify(instance, kReachPath, notice);
+    }
+}
+
+void Gateway::onReachNotice(const ReachNotice& notice)
+{
+    reach_.told(notice.sender, notice.zones, clock_.now());
+}
+
 void Gateway::chooseSource()
 {
     const bool reads = sources_->readsRegistry(clock_.now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,7 +13,7 @@
 
 namespace limpettrestle {
 
-class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public KnowledgeI, public GroupHandlerI {
+class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public KnowledgeI, public PeerHandlerI {
 public:
     Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
     ~Gateway() override;
@@ -36,6 +36,9 @@
     ChangesReply describe(const ChangeSet& changes, const ChangesRequest& request) const override;
     void onGroup(ExchangeId exchange, GroupRequest request) override;
     void onGroupLeft(ExchangeId exchange) override;
+    void onReachNotice(const ReachNotice& notice) override;
+    /// Finds the zones out of reach and tells the other instances of the zone.
+    void updateReach();
     void answerGroup(ExchangeId exchange, RouteAnswer answer, const RequestReport& report);
     InstanceInfo self() const;
     /// Version of the configuration in force; 0 when there is none.
@@ -106,6 +109,7 @@
     absl::flat_hash_set<std::string> named_;
     bool hasDirectory_ = false;
     TimePoint lastBeatAt_ {};
+    ZoneReach reach_;
     Reachability reachability_;
     bool isLeaving_ = false;
     TimePoint leaveAt_ {};
--- a/src/gateway/gather_links.cpp
+++ b/src/gateway/gather_links.cpp
@@ -18,11 +18,15 @@
     /// Wait for an answer beyond the time that was given for it.
     constexpr Millis kLimitSlack { 200 };
     constexpr int kNotStarted = 503;
+    /// Time after which a notice is given up.
+    constexpr Millis kNoticeLimit { 500 };
+    constexpr uint64_t kNoticeBit = 1ULL << 63;
 
 } // namespace
 
 struct GatherLinks::Pending {
     Link* link = nullptr;
+    std::string_view path;
     std::string body;
     TimePoint limit {};
     /// Null while it waits for a connection.
@@ -80,11 +84,26 @@
 void GatherLinks::startGroup(uint64_t group, const InstanceInfo& aggregator, GroupRequest request)
 {
     Link& link = linkTo(aggregator);
-    groups_[group] = { &link, encode(request), clock_.now() + request.timeLeft + kLimitSlack, nullptr };
+    groups_[group] = { &link, kGatherPath, encode(request), clock_.now() + request.timeLeft + kLimitSlack, nullptr };
     link.queue.push_back(group);
     pump(link);
 }
 
+void GatherLinks::notify(const InstanceInfo& instance, std::string_view path, std::string body)
+{
+    Link& link = linkTo(instance);
+    const uint64_t notice = kNoticeBit | ++lastNotice_;
+    groups_[notice] = { &link, path, std::move(body), clock_.now() + kNoticeLimit, nullptr };
+    link.queue.push_back(notice);
+    pump(link);
+}
+
+void GatherLinks::reportFailure(uint64_t group, bool mayHaveRun)
+{
+    if ((group & kNoticeBit) == 0)
+        dispatcher_->groupFailed(group, mayHaveRun);
+}
+
 void GatherLinks::cancelGroup(uint64_t group)
 {
     drop(group);
@@ -123,7 +142,7 @@
         drop(id);
         // What is silent on one connection may be so on all.
         closeIdle(link);
-        dispatcher_->groupFailed(id, isSent);
+        reportFailure(id, isSent);
     }
     for (const auto& [name, link] : links_) {
         std::vector<Channel*> expired;
@@ -186,7 +205,7 @@
 bool GatherLinks::sendOn(Channel& channel, uint64_t group)
 {
     Pending& pending = groups_.at(group);
-    const std::string head = fmt::format("POST {} HTTP/1.1\r\nHost: {}:{}\r\nContent-Length: {}\r\n\r\n", kGatherPath,
+    const std::string head = fmt::format("POST {} HTTP/1.1\r\nHost: {}:{}\r\nContent-Length: {}\r\n\r\n", pending.path,
         channel.link.aggregator.host, channel.link.aggregator.port, pending.body.size());
     if (!channel.socket->send(head, pending.body)) {
         detach(channel)->socket->close();
@@ -225,7 +244,7 @@
     if (reply)
         dispatcher_->groupAnswered(group, std::move(*reply));
     else
-        dispatcher_->groupFailed(group, response.status != kNotStarted);
+        reportFailure(group, response.status != kNotStarted);
     pump(link);
 }
 
@@ -235,14 +254,14 @@
     Link& link = detached->link;
     if (detached->group != 0) {
         groups_.erase(detached->group);
-        dispatcher_->groupFailed(detached->group, true);
+        reportFailure(detached->group, true);
     } else if (!detached->isIdle) {
         // No connection came about: those that wait for one go on without this instance.
         const std::deque<uint64_t> waiting = std::move(link.queue);
         link.queue.clear();
         for (const uint64_t group : waiting) {
             groups_.erase(group);
-            dispatcher_->groupFailed(group, false);
+            reportFailure(group, false);
         }
     }
     pump(link);
--- a/src/gateway/gather_links.h
+++ b/src/gateway/gather_links.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Connections to the instances that gather groups of shards for this one, one group at a time on each.
+/// Connections to other instances of the zone: groups of shards that they gather for this one, and notices.
+/// One message at a time on each.
 
 #include "../net/http_client.h"
 #include "../request/dispatcher.h"
@@ -18,6 +19,8 @@
     void setDispatcher(Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
     void startGroup(uint64_t group, const InstanceInfo& aggregator, GroupRequest request) override;
     void cancelGroup(uint64_t group) override;
+    /// Sends a message of which no answer is awaited.
+    void notify(const InstanceInfo& instance, std::string_view path, std::string body);
 
     /// Ends groups whose time is over, and connections that were idle for too long.
     void sweep();
@@ -38,12 +41,15 @@
     void channelEnded(Channel& channel);
     /// Ends a group that has a connection or waits for one, without a report.
     void drop(uint64_t group);
+    void reportFailure(uint64_t group, bool mayHaveRun);
 
     uv_loop_t* loop_;
     const ClockI& clock_;
     Dispatcher* dispatcher_ = nullptr;
     absl::flat_hash_map<std::string, std::unique_ptr<Link>> links_;
+    /// Groups by their number, notices by one with `kNoticeBit`.
     absl::flat_hash_map<uint64_t, Pending> groups_;
+    uint64_t lastNotice_ = 0;
 };
 
 } // namespace limpettrestle
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -15,13 +15,13 @@
 
 } // namespace
 
-PeerServer::PeerServer(uv_loop_t* loop, const ClockI& clock, const KnowledgeI& knowledge, FleetSize& fleet, InstanceDirectory& instances, GroupHandlerI& groups)
+PeerServer::PeerServer(uv_loop_t* loop, const ClockI& clock, const KnowledgeI& knowledge, FleetSize& fleet, InstanceDirectory& instances, PeerHandlerI& handler)
     : server(loop, *this, clock)
     , clock_(clock)
     , knowledge_(knowledge)
     , fleet_(fleet)
     , instances_(instances)
-    , groups_(groups)
+    , handler_(handler)
 {
 }
 
@@ -34,7 +34,11 @@
             return;
         }
         group->forwarded.transit = request.transit;
-        groups_.onGroup(exchange, std::move(*group));
+        handler_.onGroup(exchange, std::move(*group));
+        return;
+    }
+    if (request.target == kReachPath) {
+        takeNotice(exchange, request.body);
         return;
     }
     const std::optional<ChangesRequest> changes = decodeTarget(request.target);
@@ -55,6 +59,19 @@
         waiting_.push_back(entry);
 }
 
+void PeerServer::takeNotice(ExchangeId exchange, const std::string& body)
+{
+    const std::optional<ReachNotice> notice = decodeNotice(body);
+    if (!notice) {
+        refuse(exchange, "expected the sender and its zones out of reach\n");
+        return;
+    }
+    handler_.onReachNotice(*notice);
+    HttpResponse response;
+    response.status = 204;
+    server.respond(exchange, std::move(response));
+}
+
 void PeerServer::refuse(ExchangeId exchange, std::string problem)
 {
     HttpResponse response;
@@ -65,7 +82,7 @@
 
 void PeerServer::onCallerLeft(ExchangeId exchange)
 {
-    groups_.onGroupLeft(exchange);
+    handler_.onGroupLeft(exchange);
     std::erase_if(waiting_, [exchange](const Waiting& entry) { return entry.exchange == exchange; });
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -27,18 +27,20 @@
     virtual ChangesReply describe(const ChangeSet& changes, const ChangesRequest& request) const = 0;
 };
 
-/// Gathers groups of shards for other instances; answered through the server of `PeerServer`.
-class GroupHandlerI {
+/// Takes what other instances send beside their calls for changes. Groups of shards are answered through the
+/// server of `PeerServer`.
+class PeerHandlerI {
 public:
-    virtual ~GroupHandlerI() = default;
+    virtual ~PeerHandlerI() = default;
     virtual void onGroup(ExchangeId exchange, GroupRequest request) = 0;
     virtual void onGroupLeft(ExchangeId exchange) = 0;
+    virtual void onReachNotice(const ReachNotice& notice) = 0;
 };
 
 /// Answers followers; holds an answer until there is something to tell.
 class PeerServer final : public HttpHandlerI {
 public:
-    PeerServer(uv_loop_t* loop, const ClockI& clock, const KnowledgeI& knowledge, FleetSize& fleet, InstanceDirectory& instances, GroupHandlerI& groups);
+    PeerServer(uv_loop_t* loop, const ClockI& clock, const KnowledgeI& knowledge, FleetSize& fleet, InstanceDirectory& instances, PeerHandlerI& handler);
 
     void onRequest(ExchangeId exchange, HttpRequest request) override;
     void onCallerLeft(ExchangeId exchange) override;
@@ -58,13 +60,14 @@
     };
 
     void answer(const Waiting& entry);
+    void takeNotice(ExchangeId exchange, const std::string& body);
     void refuse(ExchangeId exchange, std::string problem);
 
     const ClockI& clock_;
     const KnowledgeI& knowledge_;
     FleetSize& fleet_;
     InstanceDirectory& instances_;
-    GroupHandlerI& groups_;
+    PeerHandlerI& handler_;
     std::vector<Waiting> waiting_;
 };
 
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -134,6 +134,23 @@
 
 } // namespace
 
+std::string encode(const ReachNotice& notice)
+{
+    const json root = { { "sender", notice.sender }, { "zones", notice.zones } };
+    return root.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<ReachNotice> decodeNotice(const std::string& text)
+{
+    // The codec library reports a missing or mistyped field by an exception, which ends here.
+    try {
+        const json root = json::parse(text);
+        return ReachNotice { root.at("sender").get<std::string>(), root.at("zones").get<std::vector<std::string>>() };
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
 std::string encodeTarget(const ChangesRequest& request)
 {
     std::string target = fmt::format("{}run={}&after={}&hold={}&age={}&config={}&instances={}", kPath, request.after.run, request.after.number, request.hold.count(),
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -49,6 +49,18 @@
     std::optional<RoutingDocument> config;
 };
 
+/// What an instance tells the others of its zone: `POST /reach`.
+struct ReachNotice {
+    std::string sender;
+    /// Zones of replicas that the sender cannot reach.
+    std::vector<std::string> zones;
+};
+
+constexpr std::string_view kReachPath = "/reach";
+
+std::string encode(const ReachNotice& notice);
+/// Empty on malformed input.
+std::optional<ReachNotice> decodeNotice(const std::string& text);
 std::string encodeTarget(const ChangesRequest& request);
 /// Empty on malformed input.
 std::optional<ChangesRequest> decodeTarget(const std::string& target);
--- a/src/process/reachability.cpp
+++ b/src/process/reachability.cpp
@@ -1,5 +1,7 @@
 #include "reachability.h"
 
+#include <algorithm>
+
 namespace limpettrestle {
 
 namespace {
@@ -16,18 +18,14 @@
         uint32_t reached = 0;
     };
 
-    ShardCount countShards(const RouteSpec& route, const ReplicaDirectory& directory)
+    ShardCount countShards(const RouteSpec& route, const ReplicaDirectory& directory, const ZoneReach& reach)
     {
         ShardCount count;
         for (const std::string& shard : route.shards) {
-            bool isRegistered = false;
-            bool isReached = false;
-            for (const ReplicaPtr& replica : directory.of(shard)) {
-                isRegistered |= replica->takesWork();
-                isReached |= replica->takesWork() && !replica->health.isUnreachable();
-            }
+            const auto& replicas = directory.of(shard);
+            const bool isRegistered = std::any_of(replicas.begin(), replicas.end(), [](const ReplicaPtr& replica) { return replica->takesWork(); });
             count.registered += isRegistered ? 1 : 0;
-            count.reached += isReached ? 1 : 0;
+            count.reached += reach.reachesService(directory, shard) ? 1 : 0;
         }
         return count;
     }
@@ -56,7 +54,7 @@
     return kLeastWeight + (found == requests_.end() ? 0 : found->second);
 }
 
-void Reachability::update(const RouteTable& table, const ReplicaDirectory& directory, TimePoint now)
+void Reachability::update(const RouteTable& table, const ReplicaDirectory& directory, const ZoneReach& reach, TimePoint now)
 {
     double searches = 0;
     double cut = 0;
@@ -65,7 +63,7 @@
         if (route.shards.empty())
             continue;
         searches += weightOf(route.name);
-        const ShardCount count = countShards(route, directory);
+        const ShardCount count = countShards(route, directory, reach);
         if (!suffices(count.registered, route) || suffices(count.reached, route))
             continue;
         cut += weightOf(route.name);
@@ -73,7 +71,8 @@
     }
     const bool isCut = cut > 0 && cut * 2 >= searches;
     if (isCut && !isCut_)
-        cutSince_ = now;
+        cutSince_ = wasWeighed_ ? now : now - kCutTime;
+    wasWeighed_ = true;
     isCut_ = isCut;
     isCutOff_ = isCut && now - cutSince_ >= kCutTime;
 }
--- a/src/process/reachability.h
+++ b/src/process/reachability.h
@@ -4,6 +4,7 @@
 
 #include "../version/route_table.h"
 #include "replica_directory.h"
+#include "zone_reach.h"
 
 namespace limpettrestle {
 
@@ -12,10 +13,11 @@
     /// Counts a request of a route.
     void countRequest(const std::string& route);
     /// Weighs the routes anew. To be called at a steady pace.
-    void update(const RouteTable& table, const ReplicaDirectory& directory, TimePoint now);
+    void update(const RouteTable& table, const ReplicaDirectory& directory, const ZoneReach& reach, TimePoint now);
 
     /// True when half of the searches over shards could be served by the replicas that are
-    /// registered, but not by those that this instance reaches, and this has lasted for a while.
+    /// registered, but not by those that this instance reaches, and this has lasted for a while or since
+    /// the start.
     bool isCutOff() const { return isCutOff_; }
     uint32_t routesCut() const { return routesCut_; }
 
@@ -27,6 +29,7 @@
     double total_ = 0;
     TimePoint cutSince_ {};
     bool isCut_ = false;
+    bool wasWeighed_ = false;
     bool isCutOff_ = false;
     uint32_t routesCut_ = 0;
 };
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -8,6 +8,7 @@
 #include "../connection/replica_choice.h"
 #include "../connection/replica_subset.h"
 #include "../process/replica_directory.h"
+#include "../process/zone_reach.h"
 #include "../version/route_table.h"
 #include "gather_plan.h"
 #include "share_cycle.h"
@@ -80,6 +81,8 @@
     /// Both or neither: how searches are divided among instances, and the way to them.
     GatherPlan* plan = nullptr;
     GroupTransportI* groups = nullptr;
+    /// Zones that cannot be reached at present; null where that is not watched.
+    const ZoneReach* reach = nullptr;
     /// Zone of this instance.
     std::string zone;
     uint64_t seed = 1;
@@ -193,6 +196,7 @@
     ReplicaPtr chooseFor(const OpenRequest& open, const Part& part, ChoiceScope scope);
 
     std::vector<GatherGroup> planGroups(const OpenRequest& open);
+    void markOutOfReach(OpenRequest& open, const std::vector<bool>& isGathered);
     void launchGroup(OpenRequest& open, const GatherGroup& planned);
     void takeGroup(OpenRequest& open, uint64_t id, const Group& group, GroupReply reply);
     void loseGroup(OpenRequest& open, uint64_t id, const Group& group, bool mayHaveRun, ResultCode reason);
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -68,6 +68,7 @@
         if (!chosen[i])
             markMissing(open, part, ResultCode::NoReplicaReachable);
     }
+    markOutOfReach(open, isGathered);
     // Nothing is sent for a request that cannot succeed; the check that follows refuses it.
     if (open.pending() < open.leastParts())
         return;
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -22,6 +22,23 @@
     return mayDivide ? init_.plan->divide(*open.route, clock_.now()) : std::vector<GatherGroup>();
 }
 
+/// Gives up a search whose groups could not gather enough, since zones are out of reach. A search with enough
+/// parts left goes to all groups.
+void Dispatcher::markOutOfReach(OpenRequest& open, const std::vector<bool>& isGathered)
+{
+    if (init_.reach == nullptr)
+        return;
+    std::vector<size_t> hopeless;
+    for (size_t i = 0; i < open.parts.size(); ++i) {
+        if (isGathered[i] && !init_.reach->reachesService(*init_.directory, *open.parts[i].service))
+            hopeless.push_back(i);
+    }
+    if (open.pending() - hopeless.size() >= open.leastParts())
+        return;
+    for (const size_t index : hopeless)
+        markMissing(open, open.parts[index], ResultCode::NoReplicaReachable);
+}
+
 void Dispatcher::launchGroup(OpenRequest& open, const GatherGroup& planned)
 {
     const TimePoint now = clock_.now();
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// No zone is out of reach.
+const ZoneReach kAllZones;
+
 void loseConnections(RoutingBed& bed, const std::string& suffix)
 {
     for (const auto& [id, replica] : bed.directory.all()) {
@@ -26,15 +29,16 @@
     RoutingBed bed;
     bed.useStandardRoutes(20, RepeatPolicy::Idempotent);
     Reachability reachability;
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     loseConnections(bed, "");
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     CHECK_FALSE(reachability.isCutOff());
     bed.clock.advance(Millis(600));
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     CHECK(reachability.isCutOff());
     for (const auto& [id, replica] : bed.directory.all())
         replica->health.connected(bed.clock.now());
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     CHECK_FALSE(reachability.isCutOff());
 }
 
@@ -44,9 +48,9 @@
     bed.useStandardRoutes(20, RepeatPolicy::Idempotent);
     Reachability reachability;
     loseConnections(bed, "-a");
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     bed.clock.advance(Millis(600));
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     CHECK_FALSE(reachability.isCutOff());
 }
 
@@ -57,9 +61,9 @@
     for (const char* id : { "s0-a", "s0-b", "s1-a", "s1-b" })
         bed.directory.remove(id, bed.clock.now());
     Reachability reachability;
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     bed.clock.advance(Millis(600));
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     CHECK_FALSE(reachability.isCutOff());
 }
 
@@ -100,8 +104,8 @@
             reachability.countRequest("strict");
         for (int i = 0; i < otherRequests; ++i)
             reachability.countRequest("all");
-        reachability.update(table, bed.directory, bed.clock.now());
-        reachability.update(table, bed.directory, bed.clock.now() + Millis(600));
+        reachability.update(table, bed.directory, kAllZones, bed.clock.now());
+        reachability.update(table, bed.directory, kAllZones, bed.clock.now() + Millis(600));
         return reachability.isCutOff();
     };
     CHECK(isCutOff(30, 10));
@@ -117,9 +121,9 @@
     for (uint64_t request = 1; request <= 8; ++request) {
         bed.start(request, "/all/q");
         bed.pass(Millis(120));
-        reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+        reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     }
     bed.pass(Millis(700));
-    reachability.update(*bed.dispatcher->table(), bed.directory, bed.clock.now());
+    reachability.update(*bed.dispatcher->table(), bed.directory, kAllZones, bed.clock.now());
     CHECK(reachability.isCutOff());
 }
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -514,10 +514,11 @@
     ChangeLog changes_ { 7 };
 };
 
-class NoGroups final : public GroupHandlerI {
+class NoGroups final : public PeerHandlerI {
 public:
     void onGroup(ExchangeId /*exchange*/, GroupRequest /*request*/) override { }
     void onGroupLeft(ExchangeId /*exchange*/) override { }
+    void onReachNotice(const ReachNotice& /*notice*/) override { }
 };
 
 /// Reply of a reader whose knowledge is 500 ms old to an instance that last learnt something `knownFor` ago.
--- a/tests/support/routing_bed.h
+++ b/tests/support/routing_bed.h
@@ -76,6 +76,7 @@
         init.zone = "north";
         init.plan = plan;
         init.groups = groups;
+        init.reach = &reach;
         init.repeatSlack = repeatBurst * kSlackPerBurst;
         init.repeatRatio = repeatBurst < 1 ? 0 : init.repeatRatio;
         dispatcher = std::make_unique<Dispatcher>(init);
@@ -199,6 +200,7 @@
 
     /// Processor time that an answer takes.
     Micros timeToAnswer { 0 };
+    ZoneReach reach;
     TestClock clock;
     TestTransport transport;
     ReplicaDirectory directory;
