Only replicas that failed since their zone was last heard make the zone count as out of reach

What callers would see: on an instance with little traffic two replicas that crashed long ago were enough to take a whole zone as out of reach, since half a second without an answer is usual there; where all replicas of enough shards are in that zone, the instance left the rotation and refused searches that it could serve.

Evidence: the new test 'replicas that failed before their zone was last heard are no sign' failed on the code before.

Change: ReplicaHealth tells since when its faults in a row stand; a replica counts only if that is after the last answer of its zone. A notice with more than 64 zones is refused. In 'a zone is in reach while any of its replicas answers' the answers now come before the failures, so that the zones are lost after 0.6 s as before; every check stays.

A process that starts in a cut zone before it is told is ready for 0.75 s (seen again); left.

--- a/src/connection/replica_health.cpp
+++ b/src/connection/replica_health.cpp
@@ -102,6 +102,8 @@
     if (now - lastFault_ < kAvoidMin && faultsInRow_ > 0)
         return;
     lastFault_ = now;
+    if (faultsInRow_ == 0)
+        failingSince_ = now;
     ++faultsInRow_;
     const auto step = std::min(faultsInRow_ - 1, kMaxBackoffSteps);
     avoidUntil_ = now + std::min(kAvoidMax, kAvoidMin * (1 << step));
--- a/src/connection/replica_health.h
+++ b/src/connection/replica_health.h
@@ -50,6 +50,8 @@
     double backlog(TimePoint now) const;
     size_t inFlight() const { return calls_.size(); }
     TimePoint lastAnswer() const { return lastAnswer_; }
+    /// Time of the first of the faults in a row.
+    TimePoint failingSince() const { return failingSince_; }
 
 private:
     struct OpenCall {
@@ -69,6 +71,7 @@
     TimePoint lossAt_ {};
     TimePoint lastAnswer_ {};
     TimePoint lastFault_ {};
+    TimePoint failingSince_ {};
     TimePoint avoidUntil_ {};
     /// Calls that ended unanswered since the last answer.
     uint32_t faultsInRow_ = 0;
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -15,6 +15,8 @@
     constexpr std::string_view kPath = "/changes?";
     /// Longest hold that is granted.
     constexpr int64_t kMaxHoldMs = 10000;
+    /// Zones in a notice at most.
+    constexpr size_t kMaxZones = 64;
 
     json encodeEntry(const ReplicaEntry& entry)
     {
@@ -145,7 +147,10 @@
     // The codec library reports a missing or mistyped field by an exception, which ends here.
     try {
         const json root = json::parse(text);
-        return ReachNotice { root.at("sender").get<std::string>(), root.at("zones").get<std::vector<std::string>>() };
+        ReachNotice notice { root.at("sender").get<std::string>(), root.at("zones").get<std::vector<std::string>>() };
+        if (notice.zones.size() > kMaxZones)
+            return std::nullopt;
+        return notice;
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/src/process/zone_reach.cpp
+++ b/src/process/zone_reach.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /// Replicas of a zone that must be out of reach: a single one may have crashed.
+    /// Replicas of a zone that must have failed since it was last heard: a single one may have crashed.
     constexpr uint32_t kLeastWitnesses = 2;
     /// An answer within this time shows that the zone is there.
     constexpr Millis kHeardTime { 500 };
@@ -16,29 +16,36 @@
     /// cut off alone.
     constexpr size_t kLeastTellers = 2;
 
-    struct ZoneCount {
-        uint32_t unreachable = 0;
-        bool isHeard = false;
+    struct ZoneState {
+        TimePoint heardAt {};
+        uint32_t witnesses = 0;
     };
 
+    /// True when the replica is out of reach and failed after others of its zone had answered last.
+    bool isWitness(const Replica& replica, TimePoint heardAt)
+    {
+        return replica.takesWork() && replica.health.isUnreachable() && replica.health.failingSince() > heardAt;
+    }
+
 } // namespace
 
 void ZoneReach::update(const ReplicaDirectory& directory, TimePoint now)
 {
-    absl::flat_hash_map<std::string, ZoneCount> zones;
+    absl::flat_hash_map<std::string, ZoneState> zones;
     for (const auto& [id, replica] : directory.all()) {
-        if (!replica->takesWork())
-            continue;
-        ZoneCount& count = zones[replica->entry.zone];
-        count.unreachable += replica->health.isUnreachable() ? 1 : 0;
-        count.isHeard |= now - replica->health.lastAnswer() <= kHeardTime;
+        ZoneState& state = zones[replica->entry.zone];
+        state.heardAt = std::max(state.heardAt, replica->health.lastAnswer());
+    }
+    for (const auto& [id, replica] : directory.all()) {
+        ZoneState& state = zones[replica->entry.zone];
+        state.witnesses += isWitness(*replica, state.heardAt) ? 1 : 0;
     }
     found_.clear();
     out_.clear();
-    for (const auto& [zone, count] : zones) {
-        if (count.isHeard)
+    for (const auto& [zone, state] : zones) {
+        if (now - state.heardAt <= kHeardTime)
             continue;
-        if (count.unreachable >= kLeastWitnesses)
+        if (state.witnesses >= kLeastWitnesses)
             found_.insert(zone);
         if (found_.contains(zone) || tellersOf(zone, now) >= kLeastTellers)
             out_.insert(zone);
--- a/tests/zone_reach_test.cpp
+++ b/tests/zone_reach_test.cpp
@@ -123,9 +123,10 @@
     CutBed test;
     test.lose(1);
     CHECK_FALSE(test.isCutOff());
-    test.lose(6);
     for (const char* id : { "s20-c", "s21-c", "s22-c" })
         test.hearFrom(id);
+    test.bed.clock.advance(Millis(50));
+    test.lose(6);
     test.bed.reach.update(test.bed.directory, test.bed.clock.now());
     CHECK(test.bed.reach.zonesOut().empty());
     test.bed.clock.advance(Millis(600));
@@ -136,6 +137,18 @@
     CHECK(test.bed.reach.zonesOut().size() == 2);
 }
 
+TEST_CASE("replicas that failed before their zone was last heard are no sign, however long nothing is called")
+{
+    CutBed test;
+    test.lose(3);
+    test.bed.clock.advance(Millis(50));
+    for (const char* id : { "s20-c", "s21-c", "s22-c" })
+        test.hearFrom(id);
+    test.bed.clock.advance(std::chrono::seconds(5));
+    CHECK_FALSE(test.isCutOff());
+    CHECK(test.bed.reach.zonesOut().empty());
+}
+
 TEST_CASE("what two other instances tell is taken over for a while, what one tells is not")
 {
     CutBed test;
@@ -233,4 +246,5 @@
     CHECK(decodeNotice(encode(ReachNotice { "n0", {} })));
     for (const char* text : { "", "{}", "[]", "{\"sender\":1,\"zones\":[]}", "{\"sender\":\"n\",\"zones\":[1]}", "{\"sender\":\"n\"}" })
         CHECK_FALSE(decodeNotice(text));
+    CHECK_FALSE(decodeNotice(encode(ReachNotice { "n0", std::vector<std::string>(1000, "east") })));
 }
