Zone of eight test instances is made in one place, as the linter asks

The linter stopped at the copy of the list in zone_reach_test.cpp (a vector grown in a loop without room). No check changed: 108 cases passed, linter clean on the file.

--- a/tests/gather_test.cpp
+++ b/tests/gather_test.cpp
@@ -14,17 +14,6 @@
 constexpr size_t kShards = 40;
 constexpr uint64_t kRequest = 1;
 
-/// Zone of eight instances n0 to n7.
-std::vector<InstanceInfo> zoneOfEight()
-{
-    constexpr int kInstances = 8;
-    std::vector<InstanceInfo> zone;
-    zone.reserve(kInstances);
-    for (int i = 0; i < kInstances; ++i)
-        zone.push_back({ "n" + std::to_string(i), "north", "10.0.0.1", i + 1 });
-    return zone;
-}
-
 /// Records groups and leaves their answers to the test.
 class TestGroups final : public GroupTransportI {
 public:
--- a/tests/support/routing_bed.h
+++ b/tests/support/routing_bed.h
@@ -18,6 +18,17 @@
     TimePoint now_ = TimePoint(std::chrono::hours(1));
 };
 
+/// Zone of eight instances n0 to n7.
+inline std::vector<InstanceInfo> zoneOfEight()
+{
+    constexpr int kInstances = 8;
+    std::vector<InstanceInfo> zone;
+    zone.reserve(kInstances);
+    for (int i = 0; i < kInstances; ++i)
+        zone.push_back({ "n" + std::to_string(i), "north", "10.0.0.1", i + 1 });
+    return zone;
+}
+
 /// Call that the dispatcher handed over.
 struct RecordedCall {
     uint64_t id = 0;
--- a/tests/zone_reach_test.cpp
+++ b/tests/zone_reach_test.cpp
@@ -21,10 +21,7 @@
         : plan({ "n0", 0.1 })
         , bed(100, &plan, &groups)
     {
-        std::vector<InstanceInfo> zone;
-        for (int i = 0; i < 8; ++i)
-            zone.push_back({ "n" + std::to_string(i), "north", "10.0.0.1", i + 1 });
-        plan.setInstances(std::move(zone));
+        plan.setInstances(zoneOfEight());
         bed.useStandardRoutes(kShards, RepeatPolicy::Idempotent, 0.9);
         const std::vector<std::string> zones { "east", "west", "south" };
         for (size_t i = 0; i < kShards; ++i) {
