--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -138,6 +138,10 @@
     bool isMisdirected = false;
     /// The replica closes this connection after the reply, for example because it shuts down.
     bool isClosing = false;
+    /// The replica announces that it shuts down and takes no further requests.
+    bool isLeaving = false;
+    /// Time for which the replica, which refused the call, asks this instance to send nothing; negative if it does not.
+    Millis backOff { -1 };
     /// Numbers of requests that the replica executes and has queued; negative if not reported.
     int running = -1;
     int waiting = -1;
@@ -163,6 +167,14 @@
     uint32_t runs = 0;
 };
 
+/// One run of a replica; it ends when the replica restarts, even under the same id.
+struct ReplicaRun {
+    std::string id;
+    /// See `ReplicaEntry::startedAt`.
+    int64_t startedAt = 0;
+    bool operator==(const ReplicaRun&) const = default;
+};
+
 /// Final answer to a caller of a route.
 struct RouteAnswer {
     ResultCode code = ResultCode::Ok;
@@ -177,6 +189,8 @@
     bool isMerged = false;
     std::vector<std::string> partSignatures;
     std::vector<MissingPart> missing;
+    /// For groups: replicas of the group's shards that have announced that they leave.
+    std::vector<ReplicaRun> leavingReplicas;
 };
 
 /// Request to another instance, called the aggregator, to gather a group of a search's shards.
@@ -202,6 +216,8 @@
     std::string records;
     uint32_t callsSent = 0;
     uint32_t repeats = 0;
+    /// Replicas of the shards that have announced that they leave.
+    std::vector<ReplicaRun> leavingReplicas;
 };
 
 } // namespace limpettrestle
--- a/src/connection/replica_choice.cpp
+++ b/src/connection/replica_choice.cpp
@@ -40,7 +40,7 @@
     ReplicaPtr fallback;
     double bestTime = 0;
     for (const ReplicaPtr& replica : query.candidates) {
-        if (!replica->acceptsWork() || isExcluded(replica, query.excluded))
+        if (!replica->acceptsWork() || replica->health.isBackingOff(now) || isExcluded(replica, query.excluded))
             continue;
         const bool isAvoided = replica->health.isAvoided(now);
         if (isAvoided || replica->health.isUnresponsive(now)) {
--- a/src/connection/replica_health.cpp
+++ b/src/connection/replica_health.cpp
@@ -90,6 +90,14 @@
     avoidUntil_ = now;
 }
 
+bool ReplicaHealth::recordBackOff(Millis time, TimePoint now)
+{
+    if (now + time <= backOffUntil_)
+        return false;
+    backOffUntil_ = now + time;
+    return true;
+}
+
 void ReplicaHealth::recordLoad(int running, int waiting, TimePoint now)
 {
     waiting_ = running >= 0 ? std::max(waiting, 0) : 0;
--- a/src/connection/replica_health.h
+++ b/src/connection/replica_health.h
@@ -30,11 +30,17 @@
     void connectFailed(TimePoint now);
     /// Records that a connection was established.
     void connected(TimePoint now);
+    /// Records that the replica asked this instance to send nothing for `time`. Returns false when an earlier request
+    /// lasts longer.
+    bool recordBackOff(Millis time, TimePoint now);
     /// Records the load that the replica reported; a negative `running` means that it reported none.
     void recordLoad(int running, int waiting, TimePoint now);
 
     /// True while a call takes unusually long and the replica has answered nothing since it was sent.
     bool isUnresponsive(TimePoint now) const;
+    /// True while the replica wants nothing from this instance.
+    bool isBackingOff(TimePoint now) const { return now < backOffUntil_; }
+    TimePoint backOffUntil() const { return backOffUntil_; }
     /// True during the backoff after faults, and while the replica is unreachable.
     bool isAvoided(TimePoint now) const { return now < avoidUntil_ || isUnreachable(); }
     /// True after at least two consecutive faults that include a failed connection or a timed-out call; cleared by
@@ -75,6 +81,8 @@
     TimePoint lastFault_ {};
     TimePoint failingSince_ {};
     TimePoint avoidUntil_ {};
+    /// End of the time for which the replica wants nothing from this instance.
+    TimePoint backOffUntil_ {};
     /// Faults since the last answer; a new connection reduces them to one at most.
     uint32_t consecutiveFaults_ = 0;
     bool isConnectionSuspect_ = false;
--- a/src/connection/replica_subset.cpp
+++ b/src/connection/replica_subset.cpp
@@ -22,7 +22,7 @@
     return std::max<size_t>(1, maxConnections / std::max<uint32_t>(instances, 1));
 }
 
-std::vector<ReplicaPtr> selectReplicaSubset(const std::vector<ReplicaPtr>& all, uint32_t maxConnections, const SubsetRule& rule)
+std::vector<ReplicaPtr> selectReplicaSubset(const std::vector<ReplicaPtr>& all, uint32_t maxConnections, const SubsetRule& rule, TimePoint now)
 {
     if (maxConnections == 0 || maxConnections >= rule.instances)
         return all;
@@ -32,7 +32,7 @@
         return all;
     std::vector<ReplicaPtr> used;
     for (const ReplicaPtr& replica : all) {
-        if (replica->acceptsWork() && !replica->health.isUnreachable())
+        if (replica->acceptsWork() && !replica->health.isUnreachable() && !replica->health.isBackingOff(now))
             used.push_back(replica);
     }
     std::sort(used.begin(), used.end(), [&rule](const ReplicaPtr& a, const ReplicaPtr& b) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,8 +21,6 @@
     constexpr Millis kBalancerLag { 2500 };
     /// Safety margin before the end of the grace period.
     constexpr Millis kGraceMargin { 500 };
-    /// Replicas whose entries expired during an outage of the registry register again within this time after it.
-    constexpr Millis kReregistrationTime { 2000 };
     /// Share of the configured repeat ratio that is used. The rest covers measuring windows that are not aligned.
     constexpr double kRepeatRatioShare = 0.85;
     /// Set in the dispatcher's IDs of requests from other instances. The other bits are the exchange ID.
@@ -55,8 +53,8 @@
     , settingsFile_(std::move(settingsFile))
     , clock_(clock)
     , log_(log)
-    , directory_([this](const ReplicaPtr& replica) { onReplicaRetired(replica); })
-    , changes_(static_cast<uint64_t>(std::random_device {}()) << 16 | 1)
+    , state_(
+          clock_, log_.logger(), [this](const ReplicaPtr& replica) { replicaLinks_->retireReplica(replica); }, [this](RoutingDocument document) { applyConfig(std::move(document), "registry"); })
     , fleet_(FleetSize::kDefaultSize)
 {
     uv_loop_init(&loop_);
@@ -74,16 +72,17 @@
 void Gateway::makeDispatcher()
 {
     plan_ = std::make_unique<GatherPlan>(GatherPlanInit { settings_.name, settings_.processorShare });
-    replicaLinks_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &directory_, plan_.get() });
+    replicaLinks_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &state_.directory(), plan_.get() });
     gatherLinks_ = std::make_unique<GatherLinks>(&loop_, clock_);
     DispatcherInit init;
     init.plan = plan_.get();
     init.groups = gatherLinks_.get();
+    init.announcements = this;
     init.reach = &reach_;
     init.clock = &clock_;
     init.transport = replicaLinks_.get();
     init.answers = this;
-    init.directory = &directory_;
+    init.directory = &state_.directory();
     init.zone = settings_.zone;
     init.instance = settings_.name;
     init.seed = settings_.seed != 0 ? settings_.seed : std::random_device {}();
@@ -195,7 +194,7 @@
 void Gateway::runMaintenance()
 {
     checkSuspension();
-    directory_.tick(clock_.now());
+    state_.directory().tick(clock_.now());
     chooseSource();
     updateFleetSize();
     updateInstances();
@@ -235,20 +234,20 @@
 {
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
     updateReach();
-    if (table && hasCompleteDirectory_)
-        reachability_.update(*table, directory_, reach_, clock_.now());
+    if (table && state_.isComplete())
+        reachability_.update(*table, state_.directory(), reach_, clock_.now());
     if (isReady() == wasReady_)
         return;
     wasReady_ = !wasReady_;
     log_.logger().info("event=readiness ready={} config_version={} replicas={} leaving={} cut_off={} routes_cut={}", wasReady_,
-        table ? table->version() : 0, directory_.size(), isShuttingDown_, reachability_.isCutOff(), reachability_.cutOffRoutes());
+        table ? table->version() : 0, state_.directory().size(), isShuttingDown_, reachability_.isCutOff(), reachability_.cutOffRoutes());
 }
 
 void Gateway::updateReach()
 {
     const TimePoint now = clock_.now();
     const std::vector<std::string> previous = reach_.unreachableZones();
-    reach_.update(directory_, now);
+    reach_.update(state_.directory(), now);
     const std::vector<std::string> current = reach_.unreachableZones();
     const std::vector<std::string> announced = reach_.zonesToAnnounce(now);
     if (current != previous)
@@ -271,9 +270,9 @@
 {
     const bool readsRegistry = sourceChoice_->readsRegistry(clock_.now());
     if (readsRegistry != registryClient_->isActive()) {
-        if (hasCompleteDirectory_)
+        if (state_.isComplete())
             log_.logger().info("event=source_changed reads_registry={} knowledge_age_ms={}", readsRegistry, sourceChoice_->age(clock_.now()).count());
-        listedReplicaIds_.clear();
+        state_.restartReading();
         follower_->resetPositions();
         registryClient_->setActive(readsRegistry);
     }
@@ -377,7 +376,7 @@
     HttpResponse response;
     if (answer.isMerged || !answer.missing.empty()) {
         response.status = 200;
-        response.body = encode(GroupReply { std::move(answer.partSignatures), std::move(answer.missing), std::move(answer.body), report.callsSent, report.repeats });
+        response.body = encode(GroupReply { std::move(answer.partSignatures), std::move(answer.missing), std::move(answer.body), report.callsSent, report.repeats, std::move(answer.leavingReplicas) });
     } else {
         response.status = 503;
     }
@@ -404,18 +403,12 @@
 
 void Gateway::onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync)
 {
-    const TimePoint now = clock_.now();
     if (sync.isCaughtUp())
-        sourceChoice_->registryAnswered(now);
-    if (sync.hasRecovered())
-        directory_.deferRemovals(now + kReregistrationTime);
-    for (platform::StoreItem& item : items)
-        std::visit([this](auto& entry) { applyItem(entry); }, item);
-    if (sync.hasCompletedFullRead()) {
-        directory_.retainOnly(listedReplicaIds_, now);
-        listedReplicaIds_.clear();
-        markDirectoryComplete();
-    }
+        sourceChoice_->registryAnswered(clock_.now());
+    const bool wasComplete = state_.isComplete();
+    state_.applyRegistry(std::move(items), sync);
+    follower_->setEra(state_.era());
+    noteCompleteState(wasComplete);
     peerServer_->answerHeldRequests();
 }
 
@@ -431,51 +424,29 @@
     follower_->tick();
 }
 
-void Gateway::markDirectoryComplete()
-{
-    if (!hasCompleteDirectory_)
-        log_.logger().info("event=registry_read direct={} replicas={}", registryClient_->isActive(), directory_.size());
-    hasCompleteDirectory_ = true;
-    uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kMaintenancePeriod.count()));
-}
-
-void Gateway::onReplicaRetired(const ReplicaPtr& replica)
+void Gateway::onRegistryEra(uint64_t era, uint64_t before)
 {
-    replicaLinks_->retireReplica(replica);
-    if (!replica->isListed)
-        changes_.replicaRemoved(replica->entry.id);
+    log_.logger().info("event=registry_era era={} before={}", era, before);
+    if (before != 0)
+        state_.onRegistryRestored();
 }
 
-void Gateway::applyItem(const platform::ReplicaWritten& item)
+void Gateway::noteCompleteState(bool wasComplete)
 {
-    listedReplicaIds_.insert(item.entry.id);
-    applyReplica(item.entry);
-}
-
-void Gateway::applyReplica(const ReplicaEntry& entry)
-{
-    const ReplicaPtr before = directory_.find(entry.id);
-    const ReplicaState previousState = before ? before->entry.state : ReplicaState::Ready;
-    directory_.apply(entry, clock_.now());
-    const ReplicaPtr after = directory_.find(entry.id);
-    if (before == after && after->entry.state == previousState)
+    if (wasComplete || !state_.isComplete())
         return;
-    changes_.replicaWritten(entry.id);
-    if (hasCompleteDirectory_)
-        log_.logger().info("event=replica id={} service={} state={} born={} seq={}", entry.id, entry.service, name(entry.state), entry.startedAt, entry.sequence);
+    log_.logger().info("event=registry_read direct={} replicas={}", registryClient_->isActive(), state_.directory().size());
+    uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kMaintenancePeriod.count()));
 }
 
-void Gateway::applyItem(const platform::ReplicaRemoved& item)
+void Gateway::onReplicaLeaving(const Replica& replica, std::string_view source)
 {
-    if (directory_.find(item.id))
-        log_.logger().info("event=replica id={} state=removed", item.id);
-    listedReplicaIds_.erase(item.id);
-    directory_.remove(item.id, clock_.now());
+    log_.logger().info("event=replica id={} service={} state=leaving born={} source={}", replica.entry.id, replica.entry.service, replica.entry.startedAt, source);
 }
 
-void Gateway::applyItem(platform::ConfigWritten& item)
+void Gateway::onReplicaBackOff(const Replica& replica, Millis time)
 {
-    applyConfig(std::move(item.document), "registry");
+    log_.logger().info("event=replica_back_off id={} service={} for_ms={}", replica.entry.id, replica.entry.service, time.count());
 }
 
 void Gateway::applyConfig(RoutingDocument document, std::string_view source)
@@ -485,21 +456,12 @@
     const size_t routes = document.routes.size();
     if (version <= before || !dispatcher_->activateTable(std::make_shared<const RouteTable>(std::move(document))))
         return;
-    changes_.configChanged();
+    state_.changes().configChanged();
     follower_->setConfigVersion(version);
     callerServer_->setLimits(dispatcher_->table()->limits());
     log_.logger().info("event=config_in_force version={} before={} routes={} source={}", version, before, routes, source);
 }
 
-void Gateway::applyItem(const platform::InvalidItem& item)
-{
-    log_.logger().warn("event=registry_item_refused key={} problem=\"{}\"", item.key, item.problem);
-    if (item.replicaId.empty())
-        return;
-    listedReplicaIds_.erase(item.replicaId);
-    directory_.remove(item.replicaId, clock_.now());
-}
-
 bool Gateway::onPeerReply(const ChangesReply& reply)
 {
     const TimePoint now = clock_.now();
@@ -513,37 +475,22 @@
         instances_.renewReport(reply.sender, now);
     if (reply.config)
         applyConfig(*reply.config, reply.sender);
-    const bool isAccepted = reply.includesReplicas && sourceChoice_->acceptsReplicas(registryClient_->isActive(), reply.age, now);
-    if (isAccepted)
-        applyPeerReplicas(reply);
-    else if (!isReader_)
-        log_.logger().info("event=knowledge_refused reader={} age_ms={} own_age_ms={}", reply.sender, reply.age.count(), sourceChoice_->age(now).count());
+    const bool isAccepted = reply.includesReplicas && state_.acceptsEra(reply.era) && sourceChoice_->acceptsReplicas(registryClient_->isActive(), reply.age, now);
+    if (isAccepted) {
+        const bool wasComplete = state_.isComplete();
+        state_.applyPeer(reply);
+        follower_->setEra(state_.era());
+        noteCompleteState(wasComplete);
+    } else if (!isReader_) {
+        log_.logger().info("event=knowledge_refused reader={} age_ms={} own_age_ms={} era={} own_era={}", reply.sender, reply.age.count(), sourceChoice_->age(now).count(), reply.era, state_.era());
+    }
     peerServer_->answerHeldRequests();
     return isAccepted;
 }
 
-void Gateway::applyPeerReplicas(const ChangesReply& reply)
-{
-    const TimePoint now = clock_.now();
-    for (const ReplicaEntry& entry : reply.written)
-        applyReplica(entry);
-    for (const std::string& id : reply.removed) {
-        if (hasCompleteDirectory_ && directory_.find(id))
-            log_.logger().info("event=replica id={} state=removed reader={}", id, reply.sender);
-        directory_.remove(id, now);
-    }
-    if (!reply.isFullSnapshot)
-        return;
-    absl::flat_hash_set<std::string> listedIds;
-    for (const ReplicaEntry& entry : reply.written)
-        listedIds.insert(entry.id);
-    directory_.retainOnly(listedIds, now);
-    markDirectoryComplete();
-}
-
 bool Gateway::hasClusterState() const
 {
-    return hasCompleteDirectory_ && dispatcher_->table() != nullptr;
+    return state_.isComplete() && dispatcher_->table() != nullptr;
 }
 
 ChangesReply Gateway::makeChangesReply(const ChangeSet& changes, const ChangesRequest& request) const
@@ -552,6 +499,7 @@
     ChangesReply reply;
     reply.upTo = changes.upTo;
     reply.isFullSnapshot = changes.isFullSnapshot;
+    reply.era = state_.era();
     reply.age = sourceChoice_->age(now);
     reply.sender = settings_.name;
     reply.following = fleet_.following(now);
@@ -565,7 +513,7 @@
     if (reply.instancesDigest != request.instancesDigest)
         reply.instances = std::move(instances);
     for (const std::string& id : changes.written) {
-        if (const ReplicaPtr replica = directory_.find(id))
+        if (const ReplicaPtr replica = state_.directory().find(id))
             reply.written.push_back(replica->entry);
     }
     reply.removed = changes.removed;
@@ -586,7 +534,7 @@
 
 bool Gateway::isReady() const
 {
-    return !isShuttingDown_ && hasCompleteDirectory_ && dispatcher_->table() != nullptr && !reachability_.isCutOff();
+    return !isShuttingDown_ && state_.isComplete() && dispatcher_->table() != nullptr && !reachability_.isCutOff();
 }
 
 } // namespace limpettrestle
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "../net/http_server.h"
 #include "../process/reachability.h"
+#include "cluster_state.h"
 #include "event_log.h"
 #include "gateway_metrics.h"
 #include "gather_links.h"
@@ -13,7 +14,7 @@
 
 namespace limpettrestle {
 
-class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public ClusterStateI, public PeerHandlerI {
+class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public ClusterStateI, public PeerHandlerI, public ReplicaAnnouncementsI {
 public:
     Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
     ~Gateway() override;
@@ -28,15 +29,19 @@
     void onCallerDisconnected(ExchangeId exchange) override;
     void answer(uint64_t request, RouteAnswer answer, const RequestReport& report) override;
     void onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync) override;
+    void onRegistryEra(uint64_t era, uint64_t before) override;
     void onRegistryAvailability(bool isAvailable, const std::string& reason) override;
 
     bool hasClusterState() const override;
-    const ChangeLog& changes() const override { return changes_; }
+    const ChangeLog& changes() const override { return state_.changes(); }
     Millis stateAge() const override;
+    uint64_t stateEra() const override { return state_.era(); }
     ChangesReply makeChangesReply(const ChangeSet& changes, const ChangesRequest& request) const override;
     void onGroup(ExchangeId exchange, GroupRequest request) override;
     void onGroupCancelled(ExchangeId exchange) override;
     void onReachNotice(const ReachNotice& notice) override;
+    void onReplicaLeaving(const Replica& replica, std::string_view source) override;
+    void onReplicaBackOff(const Replica& replica, Millis time) override;
     /// Updates the unreachable zones and announces them to the other instances of the zone.
     void updateReach();
     /// Replies to the instance for which a group was gathered.
@@ -46,7 +51,6 @@
     uint64_t configVersion() const;
     /// Applies a reader's reply. Returns false when its replicas were not accepted.
     bool onPeerReply(const ChangesReply& reply);
-    void applyPeerReplicas(const ChangesReply& reply);
 
     RegistryPollTiming registryPollTiming() const;
     void makeDispatcher();
@@ -54,12 +58,9 @@
     bool bindAll();
     /// Switches between reading the registry and following a reader.
     void chooseSource();
-    /// Called when a replica stops accepting work.
-    void onReplicaRetired(const ReplicaPtr& replica);
-    void applyReplica(const ReplicaEntry& entry);
     void applyConfig(RoutingDocument document, std::string_view source);
-    /// Called after every full read of the replicas; the first one makes the directory complete.
-    void markDirectoryComplete();
+    /// Called after changes of the cluster state: records that it has become complete.
+    void noteCompleteState(bool wasComplete);
     void startTimers();
     /// Sets the timer for the dispatcher's next tick. Called before the loop waits for I/O.
     void scheduleTick();
@@ -72,11 +73,6 @@
     void finishShutdown();
     void reloadSettings();
 
-    void applyItem(const platform::ReplicaWritten& item);
-    void applyItem(const platform::ReplicaRemoved& item);
-    void applyItem(platform::ConfigWritten& item);
-    void applyItem(const platform::InvalidItem& item);
-
     bool isReady() const;
     void updateReadiness();
     void updateFleetSize();
@@ -97,7 +93,7 @@
     uv_signal_t terminateSignal_;
     uv_signal_t reloadSignal_;
     GatewayMetrics metrics_;
-    ReplicaDirectory directory_;
+    ClusterState state_;
     std::unique_ptr<ReplicaLinks> replicaLinks_;
     std::unique_ptr<GatherLinks> gatherLinks_;
     std::unique_ptr<GatherPlan> plan_;
@@ -106,7 +102,6 @@
     std::unique_ptr<HttpServer> callerServer_;
     std::vector<std::unique_ptr<PageServer>> pageServers_;
     std::unique_ptr<RegistryClient> registryClient_;
-    ChangeLog changes_;
     FleetSize fleet_;
     /// This instance is one of the seeds, which read the registry for the others.
     bool isReader_ = false;
@@ -114,10 +109,6 @@
     std::unique_ptr<SourceChoice> sourceChoice_;
     std::unique_ptr<PeerServer> peerServer_;
     std::unique_ptr<PeerFollower> follower_;
-    /// IDs of the replicas seen so far by the current full read of the registry.
-    absl::flat_hash_set<std::string> listedReplicaIds_;
-    /// All replicas have been read once, from the registry or from a reader.
-    bool hasCompleteDirectory_ = false;
     TimePoint lastMaintenanceAt_ {};
     ZoneReach reach_;
     Reachability reachability_;
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -58,7 +58,7 @@
 {
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
     const nlohmann::json status = { { "name", settings_.name }, { "zone", settings_.zone }, { "ready", isReady() }, { "leaving", isShuttingDown_ },
-        { "cut_off", reachability_.isCutOff() }, { "config_version", table ? table->version() : 0 }, { "replicas", directory_.size() },
+        { "cut_off", reachability_.isCutOff() }, { "config_version", table ? table->version() : 0 }, { "replicas", state_.directory().size() },
         { "knowledge_age_ms", sourceChoice_->age(clock_.now()).count() }, { "reads_registry", registryClient_->isActive() }, { "registry_calls", registryClient_->calls() },
         { "instances", lastFleetSize_ }, { "reader", isReader_ }, { "open_requests", dispatcher_->openRequests() } };
     return textResponse(200, status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -72,7 +72,10 @@
     json signatures = json::array();
     for (const std::string& signature : reply.signatures)
         signatures.push_back(binary(signature));
-    return toMessagePack(json::array({ signatures, missing, binary(reply.records), reply.callsSent, reply.repeats }));
+    json leaving = json::array();
+    for (const ReplicaRun& run : reply.leavingReplicas)
+        leaving.push_back(json::array({ run.id, run.startedAt }));
+    return toMessagePack(json::array({ signatures, missing, binary(reply.records), reply.callsSent, reply.repeats, leaving }));
 }
 
 std::optional<GroupReply> decodeGroupReply(const std::string& bytes)
@@ -89,6 +92,11 @@
         reply.records = bytesOf(root.at(2));
         reply.callsSent = root.at(3).get<uint32_t>();
         reply.repeats = root.at(4).get<uint32_t>();
+        // Instances of earlier releases do not send this field.
+        if (root.size() > 5) {
+            for (const json& run : root.at(5))
+                reply.leavingReplicas.push_back({ run.at(0).get<std::string>(), run.at(1).get<int64_t>() });
+        }
         return reply;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -43,7 +43,7 @@
     }
     const std::optional<ChangesRequest> changes = decodeTarget(request.target);
     if (!changes) {
-        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST\n");
+        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST\n");
         return;
     }
     const TimePoint now = clock_.now();
@@ -95,7 +95,9 @@
         response.headers.push_back({ "Content-Type", "application/json" });
         // The requester's own cluster state has aged while the request was held.
         const Millis waited = std::chrono::duration_cast<Millis>(clock_.now() - held.receivedAt);
-        const bool includesReplicas = request.acceptableAge >= Millis::zero() && clusterState_.stateAge() <= request.acceptableAge + waited;
+        const uint64_t era = clusterState_.stateEra();
+        const bool isRecent = request.acceptableAge >= Millis::zero() && clusterState_.stateAge() <= request.acceptableAge + waited;
+        const bool includesReplicas = isRecent && (era == 0 || era >= request.era);
         ChangeSet changes = clusterState_.changes().changesAfter(request.after);
         if (!includesReplicas)
             changes.clearReplicas();
@@ -201,7 +203,7 @@
     isPositionReset_ = false;
     connectedPeer_ = peer;
     const bool isReading = sourceChoice_.readsRegistry(clock_.now());
-    request_ = { positions_[peer], hold, sourceChoice_.acceptableAge(isReading, clock_.now()), configVersion_, isReader_ ? InstanceInfo {} : self_, instanceDigests_[peer] };
+    request_ = { positions_[peer], hold, sourceChoice_.acceptableAge(isReading, clock_.now()), configVersion_, era_, isReader_ ? InstanceInfo {} : self_, instanceDigests_[peer] };
     callTimeoutAt_ = clock_.now() + hold + kReplyTimeoutMargin;
     if (connection_ == nullptr)
         connection_ = HttpClientConnection::open(loop_, peers_[peer].host, peers_[peer].port, kConnectTimeout, *this);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -24,6 +24,8 @@
     virtual const ChangeLog& changes() const = 0;
     /// Time since the replicas were read from the registry.
     virtual Millis stateAge() const = 0;
+    /// Era of the registry from which the replicas were read; 0 when it is unknown.
+    virtual uint64_t stateEra() const = 0;
     /// Builds the reply with entries, configuration, age, and the size and instances of the fleet.
     virtual ChangesReply makeChangesReply(const ChangeSet& changes, const ChangesRequest& request) const = 0;
 };
@@ -87,6 +89,8 @@
 
     /// Version of the active configuration, sent with each call.
     void setConfigVersion(uint64_t version) { configVersion_ = version; }
+    /// Era of the replicas of this instance, sent with each call.
+    void setEra(uint64_t era) { era_ = era; }
     void setHandlers(ReplyHandler onReply, FailureHandler onFailure);
     /// Fails a call that has timed out and starts the next call when one is due. Must be called periodically.
     void tick();
@@ -115,6 +119,7 @@
     ReplyHandler onReply_;
     FailureHandler onFailure_;
     uint64_t configVersion_ = 0;
+    uint64_t era_ = 0;
     /// Position of the last changes received from each peer.
     std::vector<ChangePosition> positions_;
     /// Digest of the last list of instances received from each peer.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -158,8 +158,8 @@
 
 std::string encodeTarget(const ChangesRequest& request)
 {
-    std::string target = fmt::format("{}run={}&after={}&hold={}&age={}&config={}&instances={}", kChangesPath, request.after.run, request.after.number, request.hold.count(),
-        request.acceptableAge.count(), request.configVersion, request.instancesDigest);
+    std::string target = fmt::format("{}run={}&after={}&hold={}&age={}&config={}&era={}&instances={}", kChangesPath, request.after.run, request.after.number, request.hold.count(),
+        request.acceptableAge.count(), request.configVersion, request.era, request.instancesDigest);
     const InstanceInfo& follower = request.follower;
     if (!follower.name.empty())
         fmt::format_to(std::back_inserter(target), "&name={}&zone={}&address={}:{}", follower.name, follower.zone, follower.host, follower.port);
@@ -187,6 +187,8 @@
             request.acceptableAge = std::min<Millis>(Millis(age), ChangesRequest::kAnyAge);
         } else if (name == "config") {
             isValid &= parseNumber(value, request.configVersion);
+        } else if (name == "era") {
+            isValid &= parseNumber(value, request.era);
         } else if (name == "name") {
             request.follower.name = value;
         } else if (name == "zone") {
@@ -207,7 +209,7 @@
     json written = json::array();
     for (const ReplicaEntry& entry : reply.written)
         written.push_back(encodeEntry(entry));
-    json root = { { "run", reply.upTo.run }, { "number", reply.upTo.number }, { "whole", reply.isFullSnapshot }, { "replicas", reply.includesReplicas }, { "age_ms", reply.age.count() },
+    json root = { { "run", reply.upTo.run }, { "number", reply.upTo.number }, { "whole", reply.isFullSnapshot }, { "replicas", reply.includesReplicas }, { "era", reply.era }, { "age_ms", reply.age.count() },
         { "sender", reply.sender }, { "following", reply.following }, { "fleet", reply.fleet }, { "instances_digest", reply.instancesDigest }, { "written", written }, { "removed", reply.removed } };
     if (reply.config)
         root["config"] = encodeConfig(*reply.config);
@@ -225,6 +227,8 @@
         reply.upTo = { root.at("run").get<uint64_t>(), root.at("number").get<uint64_t>() };
         reply.isFullSnapshot = root.at("whole").get<bool>();
         reply.includesReplicas = root.value("replicas", true);
+        // Instances of earlier releases do not send this field.
+        reply.era = root.value("era", uint64_t { 0 });
         reply.age = Millis(std::max<int64_t>(0, root.at("age_ms").get<int64_t>()));
         reply.sender = root.at("sender").get<std::string>();
         reply.following = root.at("following").get<uint32_t>();
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Messages between instances. A follower polls a reader for changes by JSON over HTTP on the peer address:
-/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST`.
+/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST`.
 
 #include "../process/change_log.h"
 #include "../process/instance_directory.h"
@@ -23,6 +23,8 @@
     Millis acceptableAge = kAnyAge;
     /// Version of the active configuration of the requester; the reply includes only a newer one.
     uint64_t configVersion = 0;
+    /// Era of the requester's replicas. The reply leaves out replicas of an earlier one.
+    uint64_t era = 0;
     /// The requesting instance; the name is empty when it does not follow the receiver.
     InstanceInfo follower;
     /// Digest of the last list of instances that the requester received; 0 when there is none.
@@ -36,6 +38,8 @@
     bool isFullSnapshot = false;
     /// False when replicas were omitted because the requester would not accept them.
     bool includesReplicas = true;
+    /// Era of the registry from which the replicas were read; 0 when it is unknown.
+    uint64_t era = 0;
     /// Age of the sender's cluster state: time since it was read from the registry.
     Millis age { 0 };
     std::string sender;
--- a/src/gateway/registry_client.cpp
+++ b/src/gateway/registry_client.cpp
@@ -70,7 +70,7 @@
         return;
     }
     self.dropConnection();
-    self.finishCall(0, "", "timeout");
+    self.finishCall({}, "timeout");
 }
 
 void RegistryClient::schedule()
@@ -98,15 +98,18 @@
         onClosed(*connection_, CloseReason::Closed);
 }
 
-void RegistryClient::finishCall(int status, const std::string& body, const std::string& reason)
+void RegistryClient::finishCall(const HttpResponse& response, const std::string& reason)
 {
     isCalling_ = false;
-    platform::StoreReply reply = platform::decodeStoreReply(call_.kind, status, body);
+    platform::StoreReply reply = platform::decodeStoreReply(call_.kind, response);
     const bool wasUnavailable = sync_.isUnavailable();
+    const uint64_t previousEra = sync_.era();
     sync_.onCallFinished(reply.result, clock_.now());
     if (sync_.isUnavailable() != wasUnavailable)
-        handler_.onRegistryAvailability(wasUnavailable, status == 0 ? reason : fmt::format("status_{}", status));
-    if (reply.result.outcome == RegistryOutcome::Done)
+        handler_.onRegistryAvailability(wasUnavailable, response.status == 0 ? reason : fmt::format("status_{}", response.status));
+    if (sync_.era() != previousEra)
+        handler_.onRegistryEra(sync_.era(), previousEra);
+    if (reply.result.outcome == RegistryOutcome::Done && !sync_.isLastAnswerDiscarded())
         handler_.onRegistryItems(std::move(reply.items), sync_);
     if (!isStopped_ && isActive_)
         schedule();
@@ -129,7 +132,7 @@
 {
     if (!isReusable)
         dropConnection();
-    finishCall(response.status, response.body, "");
+    finishCall(response, "");
     return ResponseAction::Keep;
 }
 
@@ -140,7 +143,7 @@
     connection.close();
     connection_ = nullptr;
     if (isCalling_)
-        finishCall(0, "", std::string(name(reason)));
+        finishCall({}, std::string(name(reason)));
 }
 
 } // namespace limpettrestle
--- a/src/gateway/registry_client.h
+++ b/src/gateway/registry_client.h
@@ -15,6 +15,8 @@
     virtual ~RegistryHandlerI() = default;
     /// Reports the items of one response, in order. `sync` is in its state after the response.
     virtual void onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync) = 0;
+    /// The registry was restored from an older copy. `before` is 0 for the first era that was seen.
+    virtual void onRegistryEra(uint64_t era, uint64_t before) = 0;
     /// The store has become unavailable for `reason`, or available again.
     virtual void onRegistryAvailability(bool isAvailable, const std::string& reason) = 0;
 };
@@ -41,7 +43,7 @@
     void schedule();
     void startCall();
     void sendRequest();
-    void finishCall(int status, const std::string& body, const std::string& reason);
+    void finishCall(const HttpResponse& response, const std::string& reason);
     void dropConnection();
 
     void onConnected(HttpClientConnection& connection) override;
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -175,7 +175,7 @@
             nextPreconnectAt_ = now;
             return;
         }
-        if (!replica->acceptsWork() || table->maxConnections(replica->entry.service) == 0)
+        if (!replica->acceptsWork() || replica->health.isBackingOff(now) || table->maxConnections(replica->entry.service) == 0)
             continue;
         const bool isRetry = replica->health.isRetryDue(now);
         const bool isNew = !links_.contains(replica.get()) && isCalledDirectly(replica);
@@ -336,6 +336,8 @@
     if (decoded.requestId && !requestId.empty() && *decoded.requestId != requestId) {
         ++stats_.mismatchedReplies;
         channel.isClosingAfterCall = true;
+        if (decoded.reply.isLeaving)
+            dispatcher_->replicaLeaving(channel.link.replica);
         return ResponseAction::AwaitNext;
     }
     const uint64_t call = channel.call;
@@ -353,6 +355,8 @@
     // The channel may have been destroyed by now.
     if (decoded.isEncoded) {
         ++stats_.malformedReplies;
+        if (decoded.reply.isLeaving)
+            dispatcher_->replicaLeaving(link.replica);
         dispatcher_->callFailed(call, CallFailure::Malformed);
     } else {
         dispatcher_->callAnswered(call, std::move(decoded.reply));
--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -43,6 +43,13 @@
 {
     hasCompletedFullRead_ = false;
     hasRecovered_ = false;
+    hasStartedFullRead_ = false;
+    isLastAnswerDiscarded_ = false;
+    if (!advanceEra(result.era, now)) {
+        isLastAnswerDiscarded_ = true;
+        onFailure({}, now);
+        return;
+    }
     if (result.outcome == RegistryOutcome::HistoryLost) {
         startFullRead(now);
         return;
@@ -51,16 +58,40 @@
         onFailure(result, now);
         return;
     }
-    hasRecovered_ = isUnavailable_;
-    isCaughtUp_ = false;
-    isUnavailable_ = false;
-    failures_ = 0;
+    recordSuccess();
+    if (isLastAnswerDiscarded_)
+        return;
     if (mode_ == Mode::FullRead)
         onPage(result, now);
     else
         onChanges(result, now);
 }
 
+void RegistrySync::recordSuccess()
+{
+    hasRecovered_ = isUnavailable_;
+    isCaughtUp_ = false;
+    isUnavailable_ = false;
+    failures_ = 0;
+}
+
+bool RegistrySync::advanceEra(uint64_t era, TimePoint now)
+{
+    if (era == 0 || era == era_)
+        return true;
+    if (era < era_)
+        return false;
+    const bool hasReadBefore = revision_ != 0;
+    era_ = era;
+    if (!hasReadBefore)
+        return true;
+    // Revisions of the earlier era mean nothing in this one.
+    isLastAnswerDiscarded_ = true;
+    revision_ = 0;
+    startFullRead(now);
+    return true;
+}
+
 void RegistrySync::restart(TimePoint now)
 {
     startFullRead(now);
@@ -77,6 +108,7 @@
 void RegistrySync::onPage(const RegistryResult& result, TimePoint now)
 {
     // Pages do not form a consistent snapshot, so changes are followed from the revision of the first page.
+    hasStartedFullRead_ = isFirstPage_;
     if (isFirstPage_)
         revision_ = result.revision;
     isFirstPage_ = false;
--- a/src/process/registry_sync.h
+++ b/src/process/registry_sync.h
@@ -39,6 +39,9 @@
 
 struct RegistryResult {
     RegistryOutcome outcome = RegistryOutcome::Failed;
+    /// Era of the registry: it rises when the registry is restored from an older copy. Revisions are comparable only
+    /// within an era. 0 when the answer does not tell.
+    uint64_t era = 0;
     /// Revision of the registry at the time of the answer.
     uint64_t revision = 0;
     /// Pages: more items follow after `lastKey`.
@@ -61,6 +64,10 @@
     RegistryCall nextCall() const;
     /// Handles the end of the call that `nextCall()` returned.
     void onCallFinished(const RegistryResult& result, TimePoint now);
+    /// True when the items of the last answer must not be applied: they belong to another era than what was read before.
+    bool isLastAnswerDiscarded() const { return isLastAnswerDiscarded_; }
+    /// True when the last answer was the first page of a full read.
+    bool hasStartedFullRead() const { return hasStartedFullRead_; }
     /// Starts a full read at once.
     void restart(TimePoint now);
 
@@ -72,6 +79,8 @@
     bool isUnavailable() const { return isUnavailable_; }
     /// True when the last call was the first success after failures.
     bool hasRecovered() const { return hasRecovered_; }
+    /// Highest era of all answers so far.
+    uint64_t era() const { return era_; }
     uint64_t revision() const { return revision_; }
 
 private:
@@ -81,6 +90,9 @@
     };
 
     void startFullRead(TimePoint at);
+    /// Adopts the era of an answer. Returns false when the answer is from an earlier era.
+    bool advanceEra(uint64_t era, TimePoint now);
+    void recordSuccess();
     void onPage(const RegistryResult& result, TimePoint now);
     void onChanges(const RegistryResult& result, TimePoint now);
     void onFailure(const RegistryResult& result, TimePoint now);
@@ -92,7 +104,10 @@
     TimePoint nextCallAt_ {};
     std::string afterKey_;
     bool isFirstPage_ = true;
+    uint64_t era_ = 0;
     uint64_t revision_ = 0;
+    bool isLastAnswerDiscarded_ = false;
+    bool hasStartedFullRead_ = false;
     uint32_t failures_ = 0;
     TimePoint unavailableSince_ {};
     bool isUnavailable_ = false;
--- a/src/process/replica_directory.cpp
+++ b/src/process/replica_directory.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+    /// Time for which a removed replica is remembered; a copy of the registry is some seconds old.
+    constexpr Millis kDepartedTtl { 300000 };
+    /// Limit on remembered replicas, more than a rollout of a large deployment replaces in that time.
+    constexpr size_t kMaxDeparted = 4096;
+
     /// True when the report is older than the known one.
     bool isOlder(const ReplicaEntry& report, const ReplicaEntry& known)
     {
@@ -26,14 +31,15 @@
     deferred_.erase(entry.id);
     const auto found = byId_.find(entry.id);
     if (found == byId_.end()) {
-        add(entry, now);
+        readmit(entry, now);
         return;
     }
     const ReplicaPtr replica = found->second;
     if (isOlder(entry, replica->entry))
         return;
     if (!isSameRun(entry, replica->entry)) {
-        drop(entry.id);
+        drop(entry.id, now);
+        departed_.erase(entry.id);
         add(entry, now);
         return;
     }
@@ -43,6 +49,23 @@
         onRetire_(replica);
 }
 
+void ReplicaDirectory::retire(const ReplicaPtr& replica)
+{
+    const bool acceptedWork = replica->acceptsWork();
+    replica->isRetired = true;
+    if (acceptedWork)
+        onRetire_(replica);
+}
+
+bool ReplicaDirectory::markLeaving(const ReplicaPtr& replica)
+{
+    if (replica->isLeaving)
+        return false;
+    replica->isLeaving = true;
+    retire(replica);
+    return true;
+}
+
 void ReplicaDirectory::remove(const std::string& id, TimePoint now)
 {
     if (!byId_.contains(id))
@@ -51,7 +74,7 @@
         deferred_.insert(id);
         return;
     }
-    drop(id);
+    drop(id, now);
 }
 
 void ReplicaDirectory::retainOnly(const absl::flat_hash_set<std::string>& ids, TimePoint now)
@@ -67,12 +90,13 @@
 
 void ReplicaDirectory::tick(TimePoint now)
 {
+    forgetDeparted(now);
     if (deferred_.empty() || now < deferUntil_)
         return;
     const absl::flat_hash_set<std::string> due = std::move(deferred_);
     deferred_.clear();
     for (const std::string& id : due)
-        drop(id);
+        drop(id, now);
 }
 
 const std::vector<ReplicaPtr>& ReplicaDirectory::replicasOf(const std::string& service) const
@@ -93,11 +117,37 @@
     auto replica = std::make_shared<Replica>();
     replica->entry = entry;
     replica->warmupUntil = now + entry.warmupLeft;
-    byId_[entry.id] = replica;
-    byService_[entry.service].push_back(replica);
+    insert(replica);
 }
 
-void ReplicaDirectory::drop(const std::string& id)
+/// Adds a replica that is not listed. A run that was listed before keeps its health and its announcements.
+void ReplicaDirectory::readmit(const ReplicaEntry& entry, TimePoint now)
+{
+    const auto found = departed_.find(entry.id);
+    if (found == departed_.end()) {
+        add(entry, now);
+        return;
+    }
+    const ReplicaPtr replica = found->second.replica;
+    if (!isOlder(replica->entry, entry))
+        return;
+    departed_.erase(found);
+    if (!isSameRun(entry, replica->entry)) {
+        add(entry, now);
+        return;
+    }
+    replica->entry = entry;
+    replica->isListed = true;
+    insert(replica);
+}
+
+void ReplicaDirectory::insert(const ReplicaPtr& replica)
+{
+    byId_[replica->entry.id] = replica;
+    byService_[replica->entry.service].push_back(replica);
+}
+
+void ReplicaDirectory::drop(const std::string& id, TimePoint now)
 {
     const auto found = byId_.find(id);
     if (found == byId_.end())
@@ -106,7 +156,22 @@
     byId_.erase(found);
     std::erase(byService_[replica->entry.service], replica);
     replica->isListed = false;
+    departed_[id] = { replica, now };
+    departures_.emplace_back(now, id);
+    forgetDeparted(now);
     onRetire_(replica);
 }
 
+void ReplicaDirectory::forgetDeparted(TimePoint now)
+{
+    while (!departures_.empty() && (departures_.size() > kMaxDeparted || now - departures_.front().first > kDepartedTtl)) {
+        const auto [at, id] = std::move(departures_.front());
+        departures_.pop_front();
+        const auto found = departed_.find(id);
+        // The replica may have returned and left again since.
+        if (found != departed_.end() && found->second.at <= at)
+            departed_.erase(found);
+    }
+}
+
 } // namespace limpettrestle
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -18,10 +19,12 @@
     ReplicaHealth health;
     /// End of the warm-up after the start, during which the replica is slow.
     TimePoint warmupUntil {};
-    /// The registry lists this run of the replica; cleared permanently when the replica leaves or restarts.
+    /// The registry lists this run of the replica.
     bool isListed = true;
     /// Another replica answered at its address, or the replica announced that it leaves.
     bool isRetired = false;
+    /// The replica announced in an answer that it leaves.
+    bool isLeaving = false;
     /// Number of calls that wait for a connection to the replica.
     uint32_t queued = 0;
 
@@ -40,8 +43,13 @@
     {
     }
 
-    /// Applies a report of a replica about itself. Reports older than the known one are ignored.
+    /// Applies a report of a replica about itself. Reports older than the known one are ignored. A replica that was
+    /// removed returns only with a later report: its old entry may come back from a copy of the registry.
     void apply(const ReplicaEntry& entry, TimePoint now);
+    /// Stops using a run of a replica, whatever the registry says, until the replica restarts.
+    void retire(const ReplicaPtr& replica);
+    /// Retires a replica that announced in an answer that it leaves. Returns false if this was known.
+    bool markLeaving(const ReplicaPtr& replica);
     /// Removes a replica that the registry no longer lists, or defers the removal (see `deferRemovals()`).
     void remove(const std::string& id, TimePoint now);
 
@@ -61,14 +69,26 @@
     const absl::flat_hash_map<std::string, ReplicaPtr>& all() const { return byId_; }
 
 private:
+    struct DepartedReplica {
+        ReplicaPtr replica;
+        TimePoint at {};
+    };
+
     void add(const ReplicaEntry& entry, TimePoint now);
-    void drop(const std::string& id);
+    void readmit(const ReplicaEntry& entry, TimePoint now);
+    void insert(const ReplicaPtr& replica);
+    void drop(const std::string& id, TimePoint now);
+    void forgetDeparted(TimePoint now);
 
     RetireHandler onRetire_;
     absl::flat_hash_map<std::string, ReplicaPtr> byId_;
     absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> byService_;
     TimePoint deferUntil_ {};
     absl::flat_hash_set<std::string> deferred_;
+    /// Replicas that were removed a short time ago, by id.
+    absl::flat_hash_map<std::string, DepartedReplica> departed_;
+    /// IDs in the order of their removal.
+    std::deque<std::pair<TimePoint, std::string>> departures_;
 };
 
 } // namespace limpettrestle
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -15,9 +15,6 @@
     constexpr int kMaxAnswerDelayDivisor = 4;
     /// Retry-After for requests that another instance may be able to serve immediately.
     constexpr Millis kShortRetryAfter { 20 };
-    /// Retry-After when replicas are overloaded or unreachable: a retry is useful only after their
-    /// queues have drained.
-    constexpr Millis kLongRetryAfter { 100 };
     /// Time that a call may continue after its request has been answered, before it is cancelled.
     constexpr Millis kAbandonedCallGrace { 100 };
     /// Reserve for instances that join: the known number divided by `kJoiningDivisor`, plus `kJoiningMargin`.
@@ -69,7 +66,7 @@
 
 std::vector<ReplicaPtr> Dispatcher::usedReplicas(const std::string& service) const
 {
-    return limpettrestle::selectReplicaSubset(init_.directory->replicasOf(service), table_ ? table_->maxConnections(service) : 0, subsetFor(service));
+    return limpettrestle::selectReplicaSubset(init_.directory->replicasOf(service), table_ ? table_->maxConnections(service) : 0, subsetFor(service), clock_.now());
 }
 
 double Dispatcher::repeatBurst(const std::string& service) const
@@ -386,7 +383,7 @@
     const bool mayHaveRun = std::any_of(openRequest.parts.begin(), openRequest.parts.end(), [](const Part& part) { return part.runs > 0 || part.group != 0; });
     RouteAnswer answer;
     answer.code = code;
-    answer.retryAfter = kLongRetryAfter;
+    answer.retryAfter = retryAfterFailure(openRequest);
     if (!mayHaveRun) {
         answer.status = 503;
     } else {
@@ -425,6 +422,8 @@
     for (const MissingPart& missing : answer.missing)
         addToTrail(openRequest, resultCodeInfo(missing.reason).name, missing.service, nullptr);
     report.trail = std::move(openRequest.trail);
+    if (openRequest.isGroup)
+        answer.leavingReplicas = leavingReplicas(openRequest);
     const uint64_t id = openRequest.id;
     releaseCalls(openRequest, false);
     requests_.erase(id);
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -80,6 +80,16 @@
     virtual void answer(uint64_t request, RouteAnswer answer, const RequestReport& report) = 0;
 };
 
+/// Receives what replicas announced about themselves.
+class ReplicaAnnouncementsI {
+public:
+    virtual ~ReplicaAnnouncementsI() = default;
+    /// A replica leaves. `source`: where this was learned, "replica" or the name of an instance.
+    virtual void onReplicaLeaving(const Replica& replica, std::string_view source) = 0;
+    /// A replica wants nothing from this instance for `time`.
+    virtual void onReplicaBackOff(const Replica& replica, Millis time) = 0;
+};
+
 struct DispatcherInit {
     const ClockI* clock = nullptr;
     ReplicaTransportI* transport = nullptr;
@@ -88,6 +98,8 @@
     /// Division of searches among instances, and the transport to them. Both are set or both are null.
     GatherPlan* plan = nullptr;
     GroupTransportI* groups = nullptr;
+    /// Null if announcements are not reported.
+    ReplicaAnnouncementsI* announcements = nullptr;
     /// Tells which zones are currently unreachable; null if reachability is not monitored.
     const ZoneReach* reach = nullptr;
     /// Zone of this instance.
@@ -157,6 +169,9 @@
     void callAnswered(uint64_t call, ReplicaReply reply);
     void callFailed(uint64_t call, CallFailure failure);
 
+    /// Reports that a replica announced that it leaves, in a reply that belongs to no call.
+    void replicaLeaving(const ReplicaPtr& replica) { noteLeaving(replica, "replica"); }
+
     void groupAnswered(uint64_t group, GroupReply reply);
     /// `mayHaveRun`: the aggregator may have called replicas.
     void groupFailed(uint64_t group, bool mayHaveRun);
@@ -195,6 +210,15 @@
     void acceptPartReply(OpenRequest& openRequest, size_t partIndex, ReplicaReply reply);
     void acceptForwardedReply(OpenRequest& openRequest, size_t partIndex, ReplicaReply reply);
 
+    void noteLeaving(const ReplicaPtr& replica, std::string_view source);
+    void noteLeaving(const std::vector<ReplicaRun>& runs, std::string_view source);
+    void noteBackOff(const ReplicaPtr& replica, Millis time);
+    void withdrawUnsentCalls(const ReplicaPtr& replica);
+    ResultCode unavailableReason(const std::string& service) const;
+    Millis backOffLeft(const std::string& service) const;
+    Millis retryAfterFailure(const OpenRequest& openRequest) const;
+    std::vector<ReplicaRun> leavingReplicas(const OpenRequest& openRequest) const;
+
     std::unique_ptr<OpenRequest> makeRequest(uint64_t request, ForwardedRequest forwarded, const RouteSpec& route);
     void reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter);
     RouteState& routeStateOf(const RouteSpec& route);
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -67,7 +67,7 @@
         budget.earn(init_.repeatRatio);
         chosen[i] = chooseReplicaFor(openRequest, part, ChoiceScope::First);
         if (!chosen[i])
-            markMissing(openRequest, part, ResultCode::NoReplicaReachable);
+            markMissing(openRequest, part, unavailableReason(*part.service));
     }
     markUnreachableParts(openRequest, isGathered);
     // If the request cannot succeed, nothing is sent and `updateRequest()` answers with a failure.
@@ -197,12 +197,16 @@
     Replica& replica = *call.replica;
     replica.health.recordLoad(reply.running, reply.waiting, now);
     const bool wasNotExecuted = reply.isNotExecuted || reply.isMisdirected;
-    if (reply.isMisdirected)
-        replica.isRetired = true;
     if (wasNotExecuted)
         replica.health.callEnded(call.id, now, CallEnd::Failed);
     else
         replica.health.callAnswered(call.id, now);
+    if (reply.isMisdirected)
+        init_.directory->retire(call.replica);
+    if (reply.isLeaving)
+        noteLeaving(call.replica, "replica");
+    if (reply.backOff > Millis::zero())
+        noteBackOff(call.replica, reply.backOff);
 
     const auto owner = requests_.find(call.request);
     if (owner == requests_.end())
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -102,6 +102,7 @@
     groups_.erase(found);
     const TimePoint now = clock_.now();
     init_.plan->groupAnswered(group.aggregator, std::chrono::duration_cast<Micros>(now - group.sentAt));
+    noteLeaving(reply.leavingReplicas, group.aggregator);
     const auto owner = requests_.find(group.request);
     if (owner == requests_.end())
         return;
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -9,6 +9,9 @@
 
 namespace limpettrestle {
 
+/// Retry-After when replicas are overloaded or unreachable: a retry is useful only after their
+/// queues have drained.
+constexpr Millis kLongRetryAfter { 100 };
 /// No call is sent when less time than this remains.
 constexpr Millis kMinTimeLeft { 5 };
 
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -73,11 +73,16 @@
 /// Cluster state of one replica with an age of 500 ms.
 class FixedClusterState final : public ClusterStateI {
 public:
-    FixedClusterState() { changes_.replicaWritten("r1"); }
+    explicit FixedClusterState(uint64_t era)
+        : era_(era)
+    {
+        changes_.replicaWritten("r1");
+    }
 
     bool hasClusterState() const override { return true; }
     const ChangeLog& changes() const override { return changes_; }
     Millis stateAge() const override { return Millis(500); }
+    uint64_t stateEra() const override { return era_; }
     ChangesReply makeChangesReply(const ChangeSet& changes, const ChangesRequest& /*request*/) const override
     {
         ChangesReply reply;
@@ -93,6 +98,7 @@
     }
 
 private:
+    const uint64_t era_;
     ChangeLog changes_ { 7 };
 };
 
@@ -104,14 +110,14 @@
 };
 
 /// Returns the reply of a reader whose cluster state is 500 ms old to an instance whose own state has the age
-/// `ownStateAge`.
-ChangesReply requestFromReader(Millis ownStateAge, bool isRequesterReader)
+/// `ownStateAge`. The states belong to the given eras of the registry.
+ChangesReply requestFromReader(Millis ownStateAge, bool isRequesterReader, uint64_t readerEra = 0, uint64_t ownEra = 0)
 {
     const int port = freePort();
     const SystemClock clock;
     uv_loop_t loop;
     uv_loop_init(&loop);
-    const FixedClusterState clusterState;
+    const FixedClusterState clusterState(readerEra);
     FleetSize fleet(1);
     InstanceDirectory instances;
     IgnoringPeerHandler handler;
@@ -123,6 +129,7 @@
     else
         sourceChoice.peerAnswered(0, ownStateAge, clock.now());
     PeerFollower follower(&loop, clock, { "n1", "north", "127.0.0.1", 1 }, { { "127.0.0.1", port } }, isRequesterReader, Millis(100), sourceChoice);
+    follower.setEra(ownEra);
     std::optional<ChangesReply> received;
     follower.setHandlers([&received](const ChangesReply& reply) { received = reply; return true; }, [](const Endpoint&, const std::string&) {});
     const TimePoint end = clock.now() + Millis(2000);
@@ -155,6 +162,19 @@
     }
 }
 
+TEST_CASE("a reader omits replicas of an earlier era than the requester's")
+{
+    struct TestCase {
+        uint64_t readerEra;
+        uint64_t ownEra;
+        bool includesReplicas;
+    };
+    for (const TestCase& testCase : { TestCase { 4, 5, false }, TestCase { 5, 5, true }, TestCase { 6, 5, true }, TestCase { 0, 5, true }, TestCase { 5, 0, true } }) {
+        INFO(testCase.readerEra << " " << testCase.ownEra);
+        CHECK(requestFromReader(Millis(2000), false, testCase.readerEra, testCase.ownEra).includesReplicas == testCase.includesReplicas);
+    }
+}
+
 TEST_CASE("changes that a follower did not accept are requested again")
 {
     for (const bool isAccepted : { true, false }) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -148,11 +148,11 @@
     };
     for (const TestCase& testCase : testCases) {
         INFO(testCase.status << " " << testCase.body);
-        const StoreReply reply = decodeStoreReply(RegistryCall::Kind::Page, testCase.status, testCase.body);
+        const StoreReply reply = decodeStoreReply(RegistryCall::Kind::Page, HttpResponse { testCase.status, {}, testCase.body });
         CHECK(reply.result.outcome == testCase.outcome);
         CHECK(reply.items.size() == testCase.items);
     }
-    const StoreReply reply = decodeStoreReply(RegistryCall::Kind::Page, 200, page);
+    const StoreReply reply = decodeStoreReply(RegistryCall::Kind::Page, HttpResponse { 200, {}, page });
     CHECK(reply.result.hasMore);
     CHECK(reply.result.lastKey == "other/key");
     CHECK(reply.result.revision == 530);
@@ -161,7 +161,7 @@
 TEST_CASE("events are decoded into written and removed replicas")
 {
     const std::string events = R"({"events":[)" + storedItem("servers/i-1", kReplica) + R"(,{"key":"servers/i-2","revision":413,"deleted":true}],"store_revision":413})";
-    const StoreReply reply = decodeStoreReply(RegistryCall::Kind::Changes, 200, events);
+    const StoreReply reply = decodeStoreReply(RegistryCall::Kind::Changes, HttpResponse { 200, {}, events });
     REQUIRE(reply.items.size() == 2);
     CHECK(holds<ReplicaWritten>(reply.items[0]));
     REQUIRE(holds<ReplicaRemoved>(reply.items[1]));
@@ -178,7 +178,7 @@
             damaged[random() % damaged.size()] = static_cast<char>(random());
         if (round % 3 == 0)
             damaged.resize(random() % damaged.size());
-        decodeStoreReply(RegistryCall::Kind::Changes, 200, damaged);
+        decodeStoreReply(RegistryCall::Kind::Changes, HttpResponse { 200, {}, damaged });
         std::string value = round % 2 == 0 ? kReplica : kConfig;
         value[random() % value.size()] = static_cast<char>(random());
         decodeItem(round % 2 == 0 ? "servers/i" : "op/config", value);
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -156,11 +156,12 @@
     REQUIRE(back->config->routes.size() == 2);
     CHECK(back->config->routes[0].shards.size() == 3);
     CHECK(back->config->routes[1].repeat == RepeatPolicy::AtMostOnce);
-    const std::optional<ChangesRequest> request = decodeTarget(encodeTarget({ { 7, 12 }, Millis(900), Millis(-1), 41, { "n2", "north", "10.0.0.7", 9000 }, 77 }));
+    const std::optional<ChangesRequest> request = decodeTarget(encodeTarget({ { 7, 12 }, Millis(900), Millis(-1), 41, 6, { "n2", "north", "10.0.0.7", 9000 }, 77 }));
     REQUIRE(request);
     CHECK(request->after == ChangePosition { 7, 12 });
     CHECK(request->acceptableAge == Millis(-1));
     CHECK(request->configVersion == 41);
+    CHECK(request->era == 6);
     CHECK(request->follower == InstanceInfo { "n2", "north", "10.0.0.7", 9000 });
     CHECK(request->instancesDigest == 77);
 }
@@ -370,7 +371,7 @@
     constexpr uint32_t kInstances = 86;
     for (uint32_t i = 0; i < kInstances; ++i) {
         const SubsetRule rule { "instance-" + std::to_string(i), "z" + std::to_string(i % 4), kInstances + kInstances / 10 + 2 };
-        const std::vector<ReplicaPtr> used = selectReplicaSubset(directory.replicasOf("s"), 65, rule);
+        const std::vector<ReplicaPtr> used = selectReplicaSubset(directory.replicasOf("s"), 65, rule, kStart);
         CHECK(used.size() == 2);
         for (const ReplicaPtr& replica : used)
             ++users[replica->entry.id];
@@ -380,7 +381,7 @@
         CHECK(count <= 65);
     }
     const SubsetRule few { "one", "z0", 8 };
-    CHECK(selectReplicaSubset(directory.replicasOf("s"), 26, few).size() == 3);
+    CHECK(selectReplicaSubset(directory.replicasOf("s"), 26, few, kStart).size() == 3);
     CHECK(connectionShare(26, 10) == 2);
 }
 
--- a/tests/zone_reach_test.cpp
+++ b/tests/zone_reach_test.cpp
@@ -198,6 +198,7 @@
     bool hasClusterState() const override { return false; }
     const ChangeLog& changes() const override { return changes_; }
     Millis stateAge() const override { return Millis(0); }
+    uint64_t stateEra() const override { return 0; }
     ChangesReply makeChangesReply(const ChangeSet& /*changes*/, const ChangesRequest& /*request*/) const override { return {}; }
 
 private:
