Removals wait after an outage only if the registry was unavailable to all

Ruled out: poll cycle (reader b-1 had the removal after 1.2 s), the followers' own age limit (the reader's state was fresh).

Change: removals are put off only if the cluster state, as read by this instance or by others, was older than two seconds before the answer; no entry expires in a shorter outage.

Test first: registry_era_test, "after an outage removals wait only if ..." failed with the old rule.

--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -9,6 +9,8 @@
     /// Replicas whose entries expired during an outage of the registry, or are missing from its copy, register again
     /// within this time after it.
     constexpr Millis kReregistrationTime { 2000 };
+    /// No entry expires in a shorter outage: replicas report about every 1.2 s, and entries last for three reports.
+    constexpr Millis kMinOutageWithExpiry { 2000 };
 
 } // namespace
 
@@ -30,9 +32,11 @@
     directory_.deferRemovals(clock_.now() + kReregistrationTime);
 }
 
-void ClusterState::applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync)
+void ClusterState::applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync, Millis previousAge)
 {
-    if (sync.hasRecovered())
+    // If others have read the registry in the meantime, it was unavailable only to this instance, and the removals are
+    // those of replicas that left.
+    if (sync.hasRecovered() && previousAge >= kMinOutageWithExpiry)
         deferRemovals();
     if (sync.hasStartedFullRead())
         listedIds_.clear();
--- a/src/gateway/cluster_state.h
+++ b/src/gateway/cluster_state.h
@@ -28,8 +28,9 @@
 
     /// Forgets the part of a full read that has been received.
     void restartReading() { listedIds_.clear(); }
-    /// Applies the items of one answer of the registry. `sync` is in its state after the answer.
-    void applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync);
+    /// Applies the items of one answer of the registry. `sync` is in its state after the answer; `previousAge` is the
+    /// age of the cluster state before it, as read by this instance or by others.
+    void applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync, Millis previousAge);
     /// Keeps replicas that are missing from a restored registry until they could have registered again.
     void onRegistryRestored() { deferRemovals(); }
     /// Returns false when the replicas of a reply belong to an earlier era than those that are known.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -403,10 +403,11 @@
 
 void Gateway::onRegistryItems(std::vector<platform::StoreItem> items, const RegistrySync& sync)
 {
+    const Millis previousAge = sourceChoice_->age(clock_.now());
     if (sync.isCaughtUp())
         sourceChoice_->registryAnswered(clock_.now());
     const bool wasComplete = state_.isComplete();
-    state_.applyRegistry(std::move(items), sync);
+    state_.applyRegistry(std::move(items), sync, previousAge);
     follower_->setEra(state_.era());
     noteCompleteState(wasComplete);
     peerServer_->answerHeldRequests();
--- a/tests/registry_era_test.cpp
+++ b/tests/registry_era_test.cpp
@@ -45,14 +45,14 @@
     }
 
     /// Passes an answer of the registry to the state, as the client does.
-    void receive(const RegistryResult& result, const std::vector<platform::StoreItem>& items = {})
+    void receive(const RegistryResult& result, const std::vector<platform::StoreItem>& items = {}, Millis previousAge = Millis(0))
     {
         const uint64_t before = sync.era();
         sync.onCallFinished(result, clock.now());
         if (sync.era() != before && before != 0)
             state.onRegistryRestored();
         if (result.outcome == RegistryOutcome::Done && !sync.isLastAnswerDiscarded())
-            state.applyRegistry(items, sync);
+            state.applyRegistry(items, sync, previousAge);
     }
 
     static platform::StoreItem written(const ReplicaEntry& entry) { return platform::ReplicaWritten { entry }; }
@@ -253,3 +253,29 @@
     CHECK_FALSE(bed.isUsed("a"));
     CHECK(bed.isUsed("z"));
 }
+
+TEST_CASE("after an outage removals wait only if the registry was unavailable to all")
+{
+    struct TestCase {
+        std::string outage;
+        Millis previousAge;
+        bool isDeferred;
+    };
+    const std::vector<TestCase> testCases = {
+        { "this instance alone was turned away, another reader had read 1.3 s ago", Millis(1300), false },
+        { "nobody could read for five seconds", Millis(5000), true },
+    };
+    for (const TestCase& testCase : testCases) {
+        INFO(testCase.outage);
+        StateTestBed bed;
+        bed.receive(answer(5, 400), { StateTestBed::written(entryOf("a", 50)), StateTestBed::written(entryOf("b", 50)) });
+        for (int failure = 0; failure < 5; ++failure) {
+            bed.receive(answer(5, 0, RegistryOutcome::Refused));
+            bed.wait(Millis(1000));
+        }
+        bed.receive(answer(5, 420), { StateTestBed::written(entryOf("b", 54)) }, testCase.previousAge);
+        CHECK(bed.isUsed("a") == testCase.isDeferred);
+        bed.wait(Millis(2000));
+        CHECK_FALSE(bed.isUsed("a"));
+    }
+}
