Replies without end are closed at a limit of their route and of the process

Cause: one reply could buffer 8 MB, whatever the route; interim responses, chunk extensions and replies to other requests were not limited at all; there was no limit for all connections together. Two hundred such replies took the gateway's loop and memory from everybody.

Change: each call carries a limit on the reply's body: 64 kB or 64 times the merged records for a part, 1 MB or four times the callers' body limit for a forwarded reply, 1 MB for an instance's group, 8 MB for the registry and a reader's changes. Heads are limited to 32 kB; all bytes of a reply, framing included, to eight times its body limit. ReplyMemory holds unfinished replies of the process to 4 MB and closes those that are nearest to their own limit, so that usual ones are not touched. The connection is closed at once and the call counts as malformed, a fault of the replica.

--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -120,6 +120,8 @@
     std::string body;
     /// Encoded start of the request head, which is the same in every call for this request.
     std::string commonHead;
+    /// Limit on the body of a replica's reply in bytes.
+    size_t maxReplyBytes = 1 << 20;
     /// Time that the caller is willing to wait; zero if the caller has not specified one.
     Millis callerTimeout { 0 };
     /// Estimated time that the request and its answer spend between the caller and this instance.
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -48,6 +48,7 @@
     metrics_.setGauge("limpettrestle_groups_gathered_total", "Groups gathered for other instances", static_cast<double>(stats.groupsGathered));
     metrics_.setGauge("limpettrestle_registry_calls_total", "Calls to the registry", static_cast<double>(registryClient_->calls()));
     metrics_.setGauge("limpettrestle_replica_connections", "Open connections to replicas", static_cast<double>(replicaLinks_->stats().openConnections));
+    metrics_.setGauge("limpettrestle_replies_oversized_total", "Replies of replicas that exceeded a size limit", static_cast<double>(replicaLinks_->stats().oversizedReplies));
     metrics_.setGauge("limpettrestle_connections_opened_total", "Connections opened to replicas", static_cast<double>(replicaLinks_->stats().connectionsOpened));
     metrics_.setGauge("limpettrestle_log_lines_dropped_total", "Log lines dropped", static_cast<double>(log_.dropped()));
     metrics_.setGauge("limpettrestle_open_requests", "Requests without an answer", static_cast<double>(dispatcher_->openRequests()));
--- a/src/gateway/gather_links.cpp
+++ b/src/gateway/gather_links.cpp
@@ -13,6 +13,8 @@
     constexpr Millis kConnectTimeout { 60 };
     /// Limit on connections per instance, and so on the groups in flight to it during a burst.
     constexpr size_t kMaxChannels = 8;
+    /// Limit on the reply of an instance: at most a few thousand signatures and some records.
+    constexpr size_t kMaxReplyBytes = 1 << 20;
     /// Idle connections are closed after this time, before the other end closes them.
     constexpr Millis kIdleTimeout { 8000 };
     /// Time added to a group's time limit while waiting for its reply.
@@ -213,7 +215,7 @@
     PendingMessage& pending = messages_.at(message);
     const std::string head = fmt::format("POST {} HTTP/1.1\r\nHost: {}:{}\r\nContent-Length: {}\r\n\r\n", pending.path,
         channel.link.aggregator.host, channel.link.aggregator.port, pending.body.size());
-    if (!channel.socket->send(head, pending.body)) {
+    if (!channel.socket->send(head, pending.body, { false, kMaxReplyBytes })) {
         detach(channel)->socket->close();
         return false;
     }
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -285,7 +285,7 @@
     PendingCall& pending = calls_.at(call);
     const Millis remainingTime = std::chrono::duration_cast<Millis>(pending.deadlineAt - clock_.now());
     const std::string head = platform::encodeCallHead(pending.request->commonHead, channel.link.replica->entry.id, std::max(Millis(1), remainingTime));
-    if (!channel.socket->send(head, pending.request->body, pending.request->method == "HEAD")) {
+    if (!channel.socket->send(head, pending.request->body, { pending.request->method == "HEAD", pending.request->maxReplyBytes })) {
         detach(channel)->socket->close();
         return false;
     }
@@ -318,9 +318,10 @@
             failQueued(link);
         return;
     }
+    stats_.oversizedReplies += reason == CloseReason::TooLarge ? 1 : 0;
     if (detached->call != 0) {
         calls_.erase(detached->call);
-        dispatcher_->callFailed(detached->call, reason == CloseReason::Protocol ? CallFailure::Malformed : CallFailure::Lost);
+        dispatcher_->callFailed(detached->call, reason == CloseReason::Protocol || reason == CloseReason::TooLarge ? CallFailure::Malformed : CallFailure::Lost);
     }
     sendQueued(link);
 }
--- a/src/gateway/replica_links.h
+++ b/src/gateway/replica_links.h
@@ -23,6 +23,8 @@
     /// Replies that belonged to another request.
     uint64_t mismatchedReplies = 0;
     uint64_t malformedReplies = 0;
+    /// Replies that exceeded a size limit.
+    uint64_t oversizedReplies = 0;
     /// Connections that are open or connecting at present.
     uint64_t openConnections = 0;
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,17 +3,20 @@
 #include "stream_io.h"
 
 #include <array>
+#include <climits>
 
 namespace limpettrestle {
 
 namespace {
 
-    constexpr std::array<std::string_view, 5> kCloseReasonNames = { "connect_failed", "connect_timeout", "closed", "reset", "protocol" };
+    constexpr std::array<std::string_view, 6> kCloseReasonNames = { "connect_failed", "connect_timeout", "closed", "reset", "protocol", "too_large" };
     /// TCP_USER_TIMEOUT, longer than retransmissions take on a working link: a peer that acknowledges nothing for this
     /// long is considered dead.
     constexpr int kTcpUserTimeoutMs = 2000;
-    /// Limit on the size of a response body; usual responses are far smaller.
-    constexpr size_t kMaxBodyBytes = 8 << 20;
+    /// Limit on the head of a response.
+    constexpr size_t kMaxHeadBytes = 32 << 10;
+    /// Received bytes that are allowed for each byte of the body limit, because chunks of a few bytes have longer frames.
+    constexpr size_t kMaxFramingFactor = 8;
 
     HttpClientConnection& ownerOf(http_parser* parser) { return *static_cast<HttpClientConnection*>(parser->data); }
 
@@ -46,9 +49,20 @@
     return connection;
 }
 
-bool HttpClientConnection::send(const std::string& head, const std::string& body, bool isHeadMethod)
+size_t HttpClientConnection::maxReceivedBytes() const
 {
-    isHeadMethod_ = isHeadMethod;
+    return kMaxHeadBytes + options_.maxBodyBytes * kMaxFramingFactor;
+}
+
+double HttpClientConnection::usedFraction() const
+{
+    return static_cast<double>(receivedBytes_) / static_cast<double>(kMaxHeadBytes + options_.maxBodyBytes);
+}
+
+bool HttpClientConnection::send(const std::string& head, const std::string& body, const SendOptions& options)
+{
+    options_ = options;
+    receivedBytes_ = 0;
     expectsResponse_ = true;
     response_ = {};
     if (writeOrQueue(reinterpret_cast<uv_stream_t*>(&socket_), head, body, pendingWrites_) != WriteResult::Failed)
@@ -112,14 +126,19 @@
         closeAndNotify(CloseReason::Protocol);
         return;
     }
+    receivedBytes_ += length;
     const size_t parsed = http_parser_execute(&parser_, &parserSettings(), data, length);
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
     if (isMessageComplete_) {
         finishResponse(data + parsed, length - parsed);
         return;
     }
-    if (error != HPE_OK)
+    if (isTooLarge_ || error == HPE_HEADER_OVERFLOW || receivedBytes_ > maxReceivedBytes())
+        closeAndNotify(CloseReason::TooLarge);
+    else if (error != HPE_OK)
         closeAndNotify(CloseReason::Protocol);
+    else
+        ReplyMemory::ofProcess().update(*this, receivedBytes_);
 }
 
 void HttpClientConnection::finishResponse(const char* rest, size_t restLength)
@@ -132,11 +151,13 @@
     const bool isReusable = !isLast && restLength == 0 && pendingWrites_ == 0;
     HttpResponse response = std::move(response_);
     resetParser();
+    ReplyMemory::ofProcess().release(*this);
     const ResponseAction action = listener_->onResponse(*this, std::move(response), isReusable);
     if (isClosing_ || (action == ResponseAction::Keep && isReusable))
         return;
     if (action == ResponseAction::AwaitNext && !isLast) {
         expectsResponse_ = true;
+        receivedBytes_ -= restLength;
         if (restLength > 0)
             parse(rest, restLength);
         return;
@@ -169,6 +190,7 @@
     if (isClosing_)
         return;
     isClosing_ = true;
+    ReplyMemory::ofProcess().release(*this);
     uv_close(reinterpret_cast<uv_handle_t*>(&socket_), onHandleClosed);
     uv_close(reinterpret_cast<uv_handle_t*>(&connectTimer_), onHandleClosed);
 }
@@ -187,11 +209,21 @@
     response_ = {};
     isMessageComplete_ = false;
     isAfterHeaderValue_ = false;
+    headBytes_ = 0;
+}
+
+bool HttpClientConnection::countHeadBytes(size_t length)
+{
+    headBytes_ += length;
+    isTooLarge_ = isTooLarge_ || headBytes_ > kMaxHeadBytes;
+    return !isTooLarge_;
 }
 
 int HttpClientConnection::parseHeaderField(http_parser* parser, const char* at, size_t length)
 {
     HttpClientConnection& self = ownerOf(parser);
+    if (!self.countHeadBytes(length))
+        return -1;
     std::vector<HeaderField>& headers = self.response_.headers;
     if (headers.empty() || self.isAfterHeaderValue_)
         headers.emplace_back();
@@ -203,7 +235,7 @@
 int HttpClientConnection::parseHeaderValue(http_parser* parser, const char* at, size_t length)
 {
     HttpClientConnection& self = ownerOf(parser);
-    if (self.response_.headers.empty())
+    if (self.response_.headers.empty() || !self.countHeadBytes(length))
         return -1;
     self.response_.headers.back().value.append(at, length);
     self.isAfterHeaderValue_ = true;
@@ -216,13 +248,19 @@
     self.response_.status = static_cast<int>(parser->status_code);
     // This is also the case when the end of the connection marks the end of the body.
     self.response_.isLast = http_should_keep_alive(parser) == 0;
-    return self.isHeadMethod_ ? 1 : 0;
+    if (self.options_.isHeadMethod)
+        return 1;
+    const bool hasLength = parser->content_length != ULLONG_MAX;
+    self.isTooLarge_ = hasLength && parser->content_length > self.options_.maxBodyBytes;
+    return self.isTooLarge_ ? -1 : 0;
 }
 
 int HttpClientConnection::parseBody(http_parser* parser, const char* at, size_t length)
 {
-    std::string& body = ownerOf(parser).response_.body;
-    if (body.size() + length > kMaxBodyBytes)
+    HttpClientConnection& self = ownerOf(parser);
+    std::string& body = self.response_.body;
+    self.isTooLarge_ = body.size() + length > self.options_.maxBodyBytes;
+    if (self.isTooLarge_)
         return -1;
     body.append(at, length);
     return 0;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -3,6 +3,7 @@
 /// Client side of one HTTP/1.1 connection on an event loop. Carries one request at a time, without pipelining.
 
 #include "http_message.h"
+#include "reply_memory.h"
 
 #include <http_parser.h>
 #include <uv.h>
@@ -20,9 +21,19 @@
     Reset,
     /// The peer sent bytes that are not valid HTTP, or bytes without an open request.
     Protocol,
+    /// The response exceeded its size limit, or was the largest one when the limit of the process was exceeded.
+    TooLarge,
 };
 std::string_view name(CloseReason value);
 
+/// How a request is sent and what response is expected.
+struct SendOptions {
+    /// The request method is HEAD: the response has no body, regardless of its headers.
+    bool isHeadMethod = false;
+    /// Limit on the body of the response, whether its length is declared or not.
+    size_t maxBodyBytes = 8 << 20;
+};
+
 /// How the listener wants the connection to continue after a response.
 enum class ResponseAction : uint8_t {
     /// Keep the connection for another request.
@@ -45,7 +56,7 @@
 };
 
 /// Owns itself: created by `open()`, no longer valid after `onClosed()` or `close()`.
-class HttpClientConnection {
+class HttpClientConnection final : private ReplyReceiverI {
 public:
     /// Starts to connect to an IPv4 address. Failures are reported by `onClosed()` from the event loop, never from
     /// within this call.
@@ -53,7 +64,7 @@
 
     /// Writes a request and expects a response. Returns false when the connection has failed and no byte was written;
     /// `onClosed()` follows in that case.
-    bool send(const std::string& head, const std::string& body, bool isHeadMethod = false);
+    bool send(const std::string& head, const std::string& body, const SendOptions& options = {});
     void close();
     bool isConnected() const { return isConnected_; }
     /// Number of responses received so far.
@@ -63,7 +74,12 @@
 
 private:
     HttpClientConnection(uv_loop_t* loop, HttpClientListenerI& listener);
-    ~HttpClientConnection() = default;
+    ~HttpClientConnection() override = default;
+
+    double usedFraction() const override;
+    void closeOversized() override { closeAndNotify(CloseReason::TooLarge); }
+    /// Limit on the received bytes of a response, including its head and the framing of its body.
+    size_t maxReceivedBytes() const;
 
     static void onConnect(uv_connect_t* request, int status);
     static void onConnectTimeout(uv_timer_t* timer);
@@ -78,6 +94,8 @@
     void closeAndNotify(CloseReason reason);
     void closeHandles();
     void resetParser();
+    /// Counts bytes of a response's head. Returns false when there are too many.
+    bool countHeadBytes(size_t length);
 
     static int parseHeaderField(http_parser* parser, const char* at, size_t length);
     static int parseHeaderValue(http_parser* parser, const char* at, size_t length);
@@ -96,8 +114,12 @@
     bool isClosing_ = false;
     bool expectsResponse_ = false;
     bool isMessageComplete_ = false;
-    /// The request method is HEAD: the response has no body, regardless of its headers.
-    bool isHeadMethod_ = false;
+    SendOptions options_;
+    /// Bytes received since the request was sent, including interim responses and responses to other requests.
+    size_t receivedBytes_ = 0;
+    /// Bytes of header names and values of the current response.
+    size_t headBytes_ = 0;
+    bool isTooLarge_ = false;
     bool isAfterHeaderValue_ = false;
     int openHandles_ = 2;
     int pendingWrites_ = 0;
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -36,6 +36,20 @@
     constexpr int kDurationWindowMerged = 256;
     constexpr int kDurationWindowForwarded = 32;
 
+    /// Minimum limit on the body of a part, and the limit in records as a multiple of those in the merged answer.
+    constexpr size_t kMinPartBytes = 64 << 10;
+    constexpr size_t kMaxPartRecordsFactor = 64;
+    /// Minimum limit on the body of a forwarded reply, and the limit as a multiple of that on the callers' bodies.
+    constexpr size_t kMinForwardedBytes = 1 << 20;
+    constexpr size_t kForwardedBytesFactor = 4;
+
+    size_t maxReplyBytes(const RouteSpec& route, const IngressLimits& limits)
+    {
+        if (!route.shards.empty())
+            return std::max(kMinPartBytes, route.topRecords * kRecordBytes * kMaxPartRecordsFactor);
+        return std::max(kMinForwardedBytes, limits.maxBodyBytes * kForwardedBytesFactor);
+    }
+
     /// Returns how a call ends that is abandoned now.
     CallEnd abandonedCallEnd(const Replica& replica, TimePoint now)
     {
@@ -242,6 +256,7 @@
     const Micros target = std::max<Micros>(Millis(1), route.latencyTarget - init_.answerMargin - answerDelay - forwarded.transitTime);
     openRequest->softDeadlineAt = std::min<TimePoint>(openRequest->deadlineAt, openRequest->receivedAt + target);
     openRequest->nextUpdateAt = openRequest->deadlineAt;
+    forwarded.maxReplyBytes = maxReplyBytes(route, table_->limits());
     openRequest->request = std::make_shared<const ForwardedRequest>(std::move(forwarded));
     if (openRequest->isMerged()) {
         openRequest->parts.resize(route.shards.size());
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -128,14 +128,14 @@
         for gateway in self.gateways:
             wait_for(gateway.is_ready, f"gateway n{gateway.number} is not ready")
 
-    def configure(self, extra=()):
+    def configure(self, extra=(), extra_services=()):
         self.version += 3
         routes = [{"name": "all", "hostname": "app.example", "prefix": "/all/", "route_type": "idempotent", "timeout_ms": 1500, "target_latency_ms": 300,
                    "priority": 1, "gather": [f"s{n}" for n in range(SHARDS)], "max_attempts": 2, "top_k": 4, "min_coverage": 0.6},
                   {"name": "card", "hostname": "app.example", "prefix": "/card/", "route_type": "non_idempotent", "timeout_ms": 2000,
                    "target_latency_ms": 300, "priority": 2, "backend": "card", "max_attempts": 2}]
         services = [{"name": name, "health_path": "/h", "max_conns": 26, "protocol": "h1", "tls": False} for name in [f"s{n}" for n in range(SHARDS)] + ["card"]]
-        self.store.write("op/config", {"version": self.version, "routes": routes + list(extra), "backends": services,
+        self.store.write("op/config", {"version": self.version, "routes": routes + list(extra), "backends": services + list(extra_services),
                                        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 
     def close(self):
@@ -357,9 +357,49 @@
         require(gateway.request("/all/q", f"e{gateway.number}")[0] == 200, "an instance does not serve afterwards")
 
 
+def replies_without_end(cluster):
+    """Two hundred replies that never end, at full speed and slowly, bound the memory and leave other requests alone."""
+    gateway = cluster.gateways[0]
+
+    def latency(count):
+        """Returns the 99th percentile of requests to the other replicas, in seconds."""
+        times = []
+        for number in range(count):
+            begin = time.monotonic()
+            require(gateway.request("/card/x", f"m{count}-{number}", "POST", b"x")[0] == 200, "a request to another replica failed")
+            times.append(time.monotonic() - begin)
+        return sorted(times)[int(count * 0.99)]
+
+    for replica in cluster.replicas:
+        if replica.service == "card":
+            replica.delay = 0.03
+    ports = free_ports(25)
+    for number, port in enumerate(ports):
+        cluster.store.write(f"servers/i-flood-{number}", {"backend": "flood", "address": f"{HOST}:{port}", "zone": "z1", "version": "v1", "capacity": 8,
+                                                          "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1})
+    cluster.configure([{"name": "flood", "hostname": "app.example", "prefix": "/flood/", "route_type": "idempotent", "timeout_ms": 4000,
+                        "target_latency_ms": 900, "backend": "flood", "max_attempts": 1}], [{"name": "flood", "health_path": "/h", "max_conns": 200, "protocol": "h1", "tls": False}])
+    script = os.path.join(ROOT, "standins", "endless_replies.py")
+    wait_for(lambda: any(f"version={cluster.version} " in line for line in gateway.lines("config_in_force")), "the configuration is not in force")
+    usual = latency(200)
+    for pause_ms in (0, 20):
+        with subprocess.Popen([sys.executable, script, "--ports", *map(str, ports), "--pause-ms", str(pause_ms), "--gateway", str(gateway.caller), "--requests", "200"],
+                              stdout=subprocess.PIPE) as flood:
+            require(flood.stdout.readline() == b"started\n", "the stand-in did not start")
+            during = latency(200)
+            with open(f"/proc/{gateway.process.pid}/status", encoding="ascii") as status:
+                peak_kb = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+            flood.terminate()
+        require(during <= 1.5 * usual, f"99th percentile {during * 1000:.1f} ms beside endless replies ({pause_ms} ms), {usual * 1000:.1f} ms without")
+        require(peak_kb < 32 * 1024, f"resident memory reached {peak_kb} kB")
+    metrics = Gateway.get(gateway.metrics, "/metrics")[2].decode()
+    oversized = next(float(line.split()[1]) for line in metrics.splitlines() if line.startswith("limpettrestle_replies_oversized_total "))
+    require(oversized > 0, "no reply was counted as too large")
+
+
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load,
-         suspended_instance_comes_back, bad_requests, taken_address, divided_searches]
+         suspended_instance_comes_back, bad_requests, taken_address, divided_searches, replies_without_end]
 # Options of `Cluster` for tests that need a different cluster.
 CLUSTER_OPTIONS = {divided_searches: {"gateways": 8, "processor_share": 0.001}}
 
