Deeply nested messages between instances are refused

Cause: the library decodes MessagePack by recursion, one call for each level; 200 kB of opened arrays on the peer address exhausted the stack and ended the process. JSON texts are decoded without recursion (tried with the same depth).

Change: MessagePack is decoded through a handler that stops at 16 levels; messages between instances have three.

--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -1,6 +1,6 @@
 #include "gather_messages.h"
 
-#include <nlohmann/json.hpp>
+#include "bounded_json.h"
 
 namespace limpettrestle {
 
@@ -43,7 +43,7 @@
 {
     // nlohmann::json throws when a field is missing or has the wrong type.
     try {
-        const json root = json::from_msgpack(bytes);
+        const json root = decodeMessagePack(bytes);
         GroupRequest request;
         request.forwarded.requestId = bytesOf(root.at(0));
         request.forwarded.method = bytesOf(root.at(1));
@@ -81,7 +81,7 @@
 std::optional<GroupReply> decodeGroupReply(const std::string& bytes)
 {
     try {
-        const json root = json::from_msgpack(bytes);
+        const json root = decodeMessagePack(bytes);
         GroupReply reply;
         for (const json& signature : root.at(0))
             reply.signatures.push_back(bytesOf(signature));
