A late second reply is not taken for the reply to another request or to a repeat

Cause: two ways in which a reply was attributed to the wrong call. A reply without a request id counted as the awaited one, although the replica had sent ids before: with copies that lack the id, callers got other callers' answers. And a repeat of the same request could use the connection of its first call: a late copy of the first refusal, with the right id, passed for the answer to the repeat, so that the caller was told "not run" of a request that ran.

Change: once a replica has sent ids, a reply without one belongs to no call; a connection does not carry the same request again.

--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -42,6 +42,8 @@
     std::vector<std::unique_ptr<Channel>> channels;
     /// IDs of calls that wait for a connection, oldest first.
     std::deque<uint64_t> queue;
+    /// The replica has sent a request ID in a reply, so that a reply without one does not belong to a call.
+    bool sendsRequestIds = false;
 };
 
 /// One connection and the call in flight on it.
@@ -73,6 +75,9 @@
     /// ID of the call that waits for its reply; 0 when there is none.
     uint64_t call = 0;
     bool isIdle = false;
+    /// The last request that was sent. It is not sent again on this connection: a late second copy of its first reply
+    /// would pass for the reply to the repeat.
+    RequestPtr lastRequest;
     /// A reply to another request arrived on this connection, so it is closed after its current call.
     bool isClosingAfterCall = false;
     TimePoint lastUsedAt {};
@@ -234,8 +239,7 @@
 {
     while (!link.queue.empty()) {
         const uint64_t call = link.queue.front();
-        const bool needsLive = calls_.at(call).needsLive;
-        Channel* channel = findIdleChannel(link, needsLive);
+        Channel* channel = findIdleChannel(link, calls_.at(call));
         if (channel == nullptr) {
             const auto connecting = static_cast<size_t>(std::count_if(link.channels.begin(), link.channels.end(),
                 [](const auto& entry) { return !entry->isIdle && entry->call == 0; }));
@@ -256,13 +260,13 @@
     }
 }
 
-ReplicaLinks::Channel* ReplicaLinks::findIdleChannel(Link& link, bool needsLive)
+ReplicaLinks::Channel* ReplicaLinks::findIdleChannel(Link& link, const PendingCall& call)
 {
     const TimePoint now = clock_.now();
     Channel* mostRecent = nullptr;
     for (const auto& channel : link.channels) {
         const auto idleTime = now - channel->lastUsedAt;
-        if (!channel->isIdle || idleTime > channel->idleTimeout || (needsLive && idleTime > kRecentUseTime))
+        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || channel->lastRequest == call.request)
             continue;
         if (mostRecent == nullptr || channel->lastUsedAt > mostRecent->lastUsedAt)
             mostRecent = channel.get();
@@ -291,6 +295,7 @@
     }
     channel.isIdle = false;
     channel.call = call;
+    channel.lastRequest = pending.request;
     pending.channel = &channel;
     dispatcher_->callSent(call);
     return true;
@@ -334,7 +339,9 @@
     const int keepAlive = keepAliveSeconds(response.headers);
     platform::DecodedReply decoded = platform::decodeReply(std::move(response));
     const std::string& requestId = found->second.request->requestId;
-    if (decoded.requestId && !requestId.empty() && *decoded.requestId != requestId) {
+    channel.link.sendsRequestIds |= decoded.requestId.has_value();
+    const bool isForeign = decoded.requestId ? *decoded.requestId != requestId : channel.link.sendsRequestIds;
+    if (isForeign && !requestId.empty()) {
         ++stats_.mismatchedReplies;
         channel.isClosingAfterCall = true;
         if (decoded.reply.isLeaving)
--- a/src/gateway/replica_links.h
+++ b/src/gateway/replica_links.h
@@ -67,8 +67,8 @@
     /// the subset that it uses.
     bool isCalledDirectly(const ReplicaPtr& replica) const;
     void closeIdle(Link& link);
-    /// Returns the most recently used idle channel; null when there is none.
-    Channel* findIdleChannel(Link& link, bool needsLive);
+    /// Returns the most recently used idle channel that the call may use; null when there is none.
+    Channel* findIdleChannel(Link& link, const PendingCall& call);
     void openChannel(Link& link);
     /// Returns false and closes the channel when its connection has failed.
     bool sendOn(Channel& channel, uint64_t call);
