After a start, an old state of a reader is used only if the registry cannot be read

Cause, by reading: a starting instance took the first reader's state of any age up to an hour, for example of one that had just been resumed, and used replicas that had left until its first read of its own.

Change: the first state must be as recent as any later one, unless a read of the registry has failed; a reader with an older one is asked again after 50 ms rather than 3 s, so that a start without the registry is not delayed.

--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -74,7 +74,8 @@
 {
     Peer& rejected = peers_[static_cast<size_t>(peer)];
     if (age > maxAge_) {
-        rejected.avoidUntil = now + kAvoidTime;
+        const bool hasState = stateReadAt_ != TimePoint {};
+        rejected.avoidUntil = now + (hasState ? kAvoidTime : kStartupAvoidTime);
         return;
     }
     // The reader can be followed again after its next read.
@@ -101,6 +102,10 @@
 Millis SourceChoice::acceptableAge(bool isReading, TimePoint now) const
 {
     constexpr Millis kAcceptNone { -1 };
+    // The first state decides which replicas are used after a start, and an old one names replicas that have left. It is
+    // better than none only if the registry cannot be read.
+    if (stateReadAt_ == TimePoint {} && !isRegistryUnavailable_)
+        return maxAge_;
     // A follower also accepts a state of the same age, because the state of a reader can change without a new read
     // when a deferred removal is performed. It rejects an older state, such as that of a reader that was suspended.
     if (!isReading)
--- a/tests/source_test.cpp
+++ b/tests/source_test.cpp
@@ -60,6 +60,31 @@
     CHECK(sources.readsRegistry(kStart + Millis(300)));
 }
 
+TEST_CASE("after a start an old state is accepted only if the registry cannot be read")
+{
+    struct TestCase {
+        Millis age;
+        bool isRegistryUnavailable;
+        bool isAccepted;
+    };
+    const std::vector<TestCase> testCases = { { Millis(500), false, true }, { Millis(60000), false, false }, { Millis(60000), true, true }, { Millis(500), true, true } };
+    for (const TestCase& testCase : testCases) {
+        INFO(testCase.age.count() << " " << testCase.isRegistryUnavailable);
+        SourceChoice sources(1, false, 0, kStart);
+        const TimePoint now = kStart + Millis(100);
+        if (testCase.isRegistryUnavailable)
+            sources.registryFailed(now);
+        CHECK(sources.acceptsReplicas(false, testCase.age, now) == testCase.isAccepted);
+        if (testCase.isAccepted)
+            continue;
+        sources.peerAnswerRejected(0, testCase.age, now);
+        CHECK(sources.readsRegistry(kStart + Millis(300)));
+        sources.registryFailed(kStart + Millis(310));
+        CHECK(sources.peer(kStart + Millis(310)) == 0);
+        CHECK(sources.acceptsReplicas(true, testCase.age, kStart + Millis(310)));
+    }
+}
+
 TEST_CASE("a follower reads the registry itself when all readers have failed")
 {
     SourceChoice sources(2, false, 0, kStart);
