--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -309,7 +309,13 @@
     if (!isShuttingDown_)
         return;
     const TimePoint now = clock_.now();
-    if (now >= latestExitAt_ || (now >= earliestExitAt_ && dispatcher_->openRequests() == 0))
+    if (now < earliestExitAt_)
+        return;
+    // Callers that connect in spite of the readiness check are refused from now on, so that the open requests come to
+    // an end before the grace period does.
+    callerServer_->stopListening();
+    const bool isDrained = dispatcher_->openRequests() == 0 && callerServer_->busyConnections() == 0;
+    if (isDrained || now >= latestExitAt_)
         finishShutdown();
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "stream_io.h"
 
+#include <algorithm>
 #include <climits>
 #include <fmt/format.h>
 
@@ -409,6 +410,11 @@
     listener_ = nullptr;
 }
 
+size_t HttpServer::busyConnections() const
+{
+    return static_cast<size_t>(std::count_if(connections_.begin(), connections_.end(), [](const auto& entry) { return !entry.second->isIdle(); }));
+}
+
 void HttpServer::closeIdle()
 {
     std::vector<Connection*> idle;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -49,6 +49,8 @@
     /// Closes all connections that carry no request.
     void closeIdle();
     size_t connections() const { return connections_.size(); }
+    /// Number of connections on which a request is being read or answered, or whose last answer is being read.
+    size_t busyConnections() const;
     const HttpServerStats& stats() const { return stats_; }
 
 private:
--- a/standins/registry_platform.py
+++ b/standins/registry_platform.py
@@ -6,6 +6,8 @@
 
 import base64
 import json
+import socket
+import struct
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -117,16 +119,23 @@
 class Replica:
     """One replica that registers itself in the store.
 
-    `delay` is the duration of a call in seconds. `mode` is "ok", "shed" (refuses calls with status 503) or "silent"
-    (accepts calls without a reply).
+    `delay` is the duration of a call in seconds. `mode` is "ok", "shed" (refuses calls with status 503), "silent"
+    (accepts calls without a reply), "copies" (sends each reply again after 5 ms), "copies_without_id" (the second one
+    without the request's ID), "shed_once_copied" (refuses the first call of each request, and sends the refusal again
+    after 30 ms), or one of `BROKEN_REPLIES` (ends the reply halfway).
     """
 
+    # Ways to end a reply of which half of the body has been sent.
+    BROKEN_REPLIES = ("short_body", "short_chunk", "reset_body", "reset_unframed")
+
     def __init__(self, store, service, number, zone="z1", records=(), delay=0.0):
         self.store, self.service, self.zone = store, service, zone
         self.id = f"i-{service}-{number}"
         self.records = list(records)
         self.delay, self.mode, self.runs, self.seq, self.state = delay, "ok", [], 0, "ready"
         self.born = int(time.time() * 1000)
+        # IDs of the requests that "shed_once_copied" has refused.
+        self.refused = set()
         replica = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -158,8 +167,9 @@
         status, body = 200, b""
         if request.headers.get("X-Expect-Instance") not in (None, self.id):
             status, headers["X-Instance-Id"] = 421, self.id
-        elif self.mode == "shed":
+        elif self.mode == "shed" or (self.mode == "shed_once_copied" and headers["X-Request-Id"] not in self.refused):
             status, headers["X-Not-Executed"] = 503, "1"
+            self.refused.add(headers["X-Request-Id"])
         else:
             self.runs.append((time.monotonic(), request.headers.get("X-Request-Id"), request.path, request.headers.get("X-Deadline-Ms")))
             if self.mode == "silent":
@@ -168,6 +178,18 @@
             time.sleep(self.delay)
             headers["X-Server-Stamp"] = f"{self.id}.{request.headers.get('X-Request-Id')}"
             body = b"".join(self.records) if self.records else f"{request.command} {request.path}".encode()
+        if self.mode in self.BROKEN_REPLIES:
+            self.break_off(request, headers, body)
+            return
+        self.send_reply(request, status, headers, body)
+        if self.mode.startswith("copies") or (self.mode == "shed_once_copied" and status == 503):
+            time.sleep(0.03 if status == 503 else 0.005)
+            if self.mode == "copies_without_id":
+                del headers["X-Request-Id"]
+            self.send_reply(request, status, headers, body)
+
+    @staticmethod
+    def send_reply(request, status, headers, body):
         request.send_response(status)
         for name, value in headers.items():
             request.send_header(name, value)
@@ -175,6 +197,24 @@
         request.end_headers()
         request.wfile.write(body)
 
+    def break_off(self, request, headers, body):
+        """Sends half of a body and ends the connection."""
+        request.send_response(200)
+        for name, value in headers.items():
+            request.send_header(name, value)
+        if self.mode == "short_chunk":
+            request.send_header("Transfer-Encoding", "chunked")
+        elif self.mode != "reset_unframed":
+            request.send_header("Content-Length", str(len(body)))
+        request.end_headers()
+        half = body[:len(body) // 2]
+        request.wfile.write(b"%x\r\n%s\r\n" % (len(half), half) if self.mode == "short_chunk" else half)
+        request.wfile.flush()
+        request.close_connection = True
+        if self.mode.startswith("reset"):
+            request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            request.connection.close()
+
 
 class Heartbeats:
     """Reports all registered replicas every `period` seconds while their store works."""
