Only a restored registry makes the return of a removed replica suspect

At a start, readers know different parts of the registry; a follower that changed between them dropped a replica for a moment and then refused it for as long as its state did not change, since a reader tells a replica's entry only then. Shards were left with one replica.

Change: the rule applies to replicas that were removed before the era rose; an earlier run of a replica is refused always, a run that returns keeps its announcements.

--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -32,6 +32,12 @@
     directory_.deferRemovals(clock_.now() + kReregistrationTime);
 }
 
+void ClusterState::onRegistryRestored()
+{
+    directory_.onRegistryRestored(clock_.now());
+    deferRemovals();
+}
+
 void ClusterState::applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync, Millis previousAge)
 {
     // If others have read the registry in the meantime, it was unavailable only to this instance, and the removals are
@@ -93,7 +99,7 @@
 void ClusterState::applyPeer(const ChangesReply& reply)
 {
     if (reply.era > era_ && isComplete_)
-        deferRemovals();
+        onRegistryRestored();
     era_ = std::max(era_, reply.era);
     for (const ReplicaEntry& entry : reply.written)
         applyReplica(entry);
--- a/src/gateway/cluster_state.h
+++ b/src/gateway/cluster_state.h
@@ -32,7 +32,7 @@
     /// age of the cluster state before it, as read by this instance or by others.
     void applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync, Millis previousAge);
     /// Keeps replicas that are missing from a restored registry until they could have registered again.
-    void onRegistryRestored() { deferRemovals(); }
+    void onRegistryRestored();
     /// Returns false when the replicas of a reply belong to an earlier era than those that are known.
     bool acceptsEra(uint64_t era) const { return era == 0 || era >= era_; }
     void applyPeer(const ChangesReply& reply);
--- a/src/process/replica_directory.cpp
+++ b/src/process/replica_directory.cpp
@@ -129,14 +129,17 @@
         return;
     }
     const ReplicaPtr replica = found->second.replica;
-    if (!isOlder(replica->entry, entry))
+    const bool mayBeCopied = found->second.at <= restoredAt_;
+    const bool isEarlierRun = entry.startedAt < replica->entry.startedAt;
+    if (isEarlierRun || (mayBeCopied && !isOlder(replica->entry, entry)))
         return;
     departed_.erase(found);
     if (!isSameRun(entry, replica->entry)) {
         add(entry, now);
         return;
     }
-    replica->entry = entry;
+    if (!isOlder(entry, replica->entry))
+        replica->entry = entry;
     replica->isListed = true;
     insert(replica);
 }
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -43,8 +43,7 @@
     {
     }
 
-    /// Applies a report of a replica about itself. Reports older than the known one are ignored. A replica that was
-    /// removed returns only with a later report: its old entry may come back from a copy of the registry.
+    /// Applies a report of a replica about itself. Reports older than the known one are ignored.
     void apply(const ReplicaEntry& entry, TimePoint now);
     /// Stops using a run of a replica, whatever the registry says, until the replica restarts.
     void retire(const ReplicaPtr& replica);
@@ -56,6 +55,9 @@
     /// Applies a full read of the registry: removes all replicas that are not in `ids`.
     void retainOnly(const absl::flat_hash_set<std::string>& ids, TimePoint now);
 
+    /// From now on, replicas that have been removed return only with a later report: the registry was restored from a
+    /// copy, in which their old entries may come back.
+    void onRegistryRestored(TimePoint now) { restoredAt_ = now; }
     /// Defers removals until `until` and drops those whose entry has come back by then. While the registry is
     /// unavailable, entries of live replicas may expire.
     void deferRemovals(TimePoint until) { deferUntil_ = until; }
@@ -84,6 +86,7 @@
     absl::flat_hash_map<std::string, ReplicaPtr> byId_;
     absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> byService_;
     TimePoint deferUntil_ {};
+    TimePoint restoredAt_ {};
     absl::flat_hash_set<std::string> deferred_;
     /// Replicas that were removed a short time ago, by id.
     absl::flat_hash_map<std::string, DepartedReplica> departed_;
--- a/tests/registry_era_test.cpp
+++ b/tests/registry_era_test.cpp
@@ -279,3 +279,19 @@
         CHECK_FALSE(bed.isUsed("a"));
     }
 }
+
+TEST_CASE("a replica that one snapshot lacks returns with the same report from another")
+{
+    // Readers that have just started know different parts of the registry, and a follower changes between them.
+    StateTestBed bed;
+    ChangesReply reply;
+    reply.isFullSnapshot = true;
+    reply.written = { entryOf("a", 1), entryOf("b", 1) };
+    bed.state.applyPeer(reply);
+    reply.written = { entryOf("b", 1) };
+    bed.state.applyPeer(reply);
+    REQUIRE_FALSE(bed.isUsed("a"));
+    reply.written = { entryOf("a", 1), entryOf("b", 1) };
+    bed.state.applyPeer(reply);
+    CHECK(bed.isUsed("a"));
+}
