Read-through: era of peers, default limit of replies, identity of the last request

Cause, by reading the diff: the first era that a follower saw counted as a restoration and put removals off; a connection kept its last request, body and all, alive while idle; the default limit of 8 MB was above what the process allows for all replies together.

Test: registry_era_test, "the first era that is seen is no restoration".

--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -1,5 +1,6 @@
 #include "cluster_state.h"
 
+#include <algorithm>
 #include <random>
 
 namespace limpettrestle {
@@ -52,7 +53,7 @@
         return;
     directory_.retainOnly(listedIds_, clock_.now());
     listedIds_.clear();
-    era_ = sync.era();
+    era_ = std::max(era_, sync.era());
     isComplete_ = true;
 }
 
@@ -98,7 +99,7 @@
 
 void ClusterState::applyPeer(const ChangesReply& reply)
 {
-    if (reply.era > era_ && isComplete_)
+    if (era_ != 0 && reply.era > era_)
         onRegistryRestored();
     era_ = std::max(era_, reply.era);
     for (const ReplicaEntry& entry : reply.written)
--- a/src/gateway/cluster_state.h
+++ b/src/gateway/cluster_state.h
@@ -35,6 +35,7 @@
     void onRegistryRestored();
     /// Returns false when the replicas of a reply belong to an earlier era than those that are known.
     bool acceptsEra(uint64_t era) const { return era == 0 || era >= era_; }
+    /// Applies the replicas of another instance's reply.
     void applyPeer(const ChangesReply& reply);
 
 private:
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -11,6 +11,9 @@
     /// Limit on shards in a group, far above the size of any group that an instance forms.
     constexpr size_t kMaxGroupShards = 10000;
 
+    /// Index of the leaving replicas in a reply; instances of earlier releases do not send them.
+    constexpr size_t kLeavingReplicasField = 5;
+
     std::string toMessagePack(const json& root)
     {
         std::string bytes;
@@ -92,9 +95,8 @@
         reply.records = bytesOf(root.at(2));
         reply.callsSent = root.at(3).get<uint32_t>();
         reply.repeats = root.at(4).get<uint32_t>();
-        // Instances of earlier releases do not send this field.
-        if (root.size() > 5) {
-            for (const json& run : root.at(5))
+        if (root.size() > kLeavingReplicasField) {
+            for (const json& run : root.at(kLeavingReplicasField))
                 reply.leavingReplicas.push_back({ run.at(0).get<std::string>(), run.at(1).get<int64_t>() });
         }
         return reply;
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -75,9 +75,9 @@
     /// ID of the call that waits for its reply; 0 when there is none.
     uint64_t call = 0;
     bool isIdle = false;
-    /// The last request that was sent. It is not sent again on this connection: a late second copy of its first reply
-    /// would pass for the reply to the repeat.
-    RequestPtr lastRequest;
+    /// Identity of the last request that was sent; never dereferenced. The request is not sent again on this connection,
+    /// because a late second copy of its first reply would pass for the reply to the repeat.
+    const ForwardedRequest* lastRequest = nullptr;
     /// A reply to another request arrived on this connection, so it is closed after its current call.
     bool isClosingAfterCall = false;
     TimePoint lastUsedAt {};
@@ -266,7 +266,7 @@
     Channel* mostRecent = nullptr;
     for (const auto& channel : link.channels) {
         const auto idleTime = now - channel->lastUsedAt;
-        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || channel->lastRequest == call.request)
+        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || channel->lastRequest == call.request.get())
             continue;
         if (mostRecent == nullptr || channel->lastUsedAt > mostRecent->lastUsedAt)
             mostRecent = channel.get();
@@ -295,7 +295,7 @@
     }
     channel.isIdle = false;
     channel.call = call;
-    channel.lastRequest = pending.request;
+    channel.lastRequest = pending.request.get();
     pending.channel = &channel;
     dispatcher_->callSent(call);
     return true;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -31,7 +31,7 @@
     /// The request method is HEAD: the response has no body, regardless of its headers.
     bool isHeadMethod = false;
     /// Limit on the body of the response, whether its length is declared or not.
-    size_t maxBodyBytes = 8 << 20;
+    size_t maxBodyBytes = 3 << 20;
 };
 
 /// How the listener wants the connection to continue after a response.
--- a/tests/registry_era_test.cpp
+++ b/tests/registry_era_test.cpp
@@ -295,3 +295,17 @@
     bed.state.applyPeer(reply);
     CHECK(bed.isUsed("a"));
 }
+
+TEST_CASE("the first era that is seen is no restoration")
+{
+    StateTestBed bed;
+    ChangesReply reply;
+    reply.isFullSnapshot = true;
+    reply.written = { entryOf("a", 1), entryOf("b", 1) };
+    bed.state.applyPeer(reply);
+    reply.era = 5;
+    reply.written = { entryOf("b", 1) };
+    bed.state.applyPeer(reply);
+    CHECK_FALSE(bed.isUsed("a"));
+    CHECK(bed.state.era() == 5);
+}
