A connection remembers its last request by the hash of its id

Change: the hash of the request's id; none for a request without one.

A test that counts the connections of a series of requests is left.

--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -23,6 +23,9 @@
     /// Time between two passes over the replicas to open connections in advance.
     constexpr Millis kPreconnectInterval { 900 };
 
+    /// Returns 0 for a request without an ID, which cannot be told from others.
+    size_t hashOfId(const ForwardedRequest& request) { return request.requestId.empty() ? 0 : std::hash<std::string> {}(request.requestId); }
+
 } // namespace
 
 /// A call that is queued or waits for its reply.
@@ -75,9 +78,9 @@
     /// ID of the call that waits for its reply; 0 when there is none.
     uint64_t call = 0;
     bool isIdle = false;
-    /// Identity of the last request that was sent; never dereferenced. The request is not sent again on this connection,
-    /// because a late second copy of its first reply would pass for the reply to the repeat.
-    const ForwardedRequest* lastRequest = nullptr;
+    /// Hash of the ID of the last request that was sent; 0 when it had none. The request is not sent again on this connection, because a late
+    /// second copy of its first reply would pass for the reply to the repeat.
+    size_t lastRequestHash = 0;
     /// A reply to another request arrived on this connection, so it is closed after its current call.
     bool isClosingAfterCall = false;
     TimePoint lastUsedAt {};
@@ -263,10 +266,11 @@
 ReplicaLinks::Channel* ReplicaLinks::findIdleChannel(Link& link, const PendingCall& call)
 {
     const TimePoint now = clock_.now();
+    const size_t requestHash = hashOfId(*call.request);
     Channel* mostRecent = nullptr;
     for (const auto& channel : link.channels) {
         const auto idleTime = now - channel->lastUsedAt;
-        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || channel->lastRequest == call.request.get())
+        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || (requestHash != 0 && channel->lastRequestHash == requestHash))
             continue;
         if (mostRecent == nullptr || channel->lastUsedAt > mostRecent->lastUsedAt)
             mostRecent = channel.get();
@@ -295,7 +299,7 @@
     }
     channel.isIdle = false;
     channel.call = call;
-    channel.lastRequest = pending.request.get();
+    channel.lastRequestHash = hashOfId(*pending.request);
     pending.channel = &channel;
     dispatcher_->callSent(call);
     return true;
