--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -357,6 +357,21 @@
         require(gateway.request("/all/q", f"e{gateway.number}")[0] == 200, "an instance does not serve afterwards")
 
 
+def connections_are_kept(cluster):
+    """Requests one after another use the same connections, with and without ids."""
+    gateway = cluster.gateways[0]
+
+    def opened():
+        text = Gateway.get(gateway.metrics, "/metrics")[2].decode()
+        return next(float(line.split()[1]) for line in text.splitlines() if line.startswith("limpettrestle_connections_opened_total "))
+
+    wait_for(lambda: opened() >= len(cluster.replicas), "the connections that are opened in advance are missing")
+    before = opened()
+    for number in range(100):
+        require(gateway.request("/card/x", f"k{number}" if number % 2 else "", "POST", b"x")[0] == 200, "a request failed")
+    require(opened() - before < 10, f"{opened() - before:.0f} connections for 100 requests")
+
+
 def replies_without_end(cluster):
     """Two hundred replies that never end, at full speed and slowly, bound the memory and leave other requests alone."""
     gateway = cluster.gateways[0]
@@ -399,7 +414,7 @@
 
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load,
-         suspended_instance_comes_back, bad_requests, taken_address, divided_searches, replies_without_end]
+         suspended_instance_comes_back, bad_requests, taken_address, divided_searches, connections_are_kept, replies_without_end]
 # Options of `Cluster` for tests that need a different cluster.
 CLUSTER_OPTIONS = {divided_searches: {"gateways": 8, "processor_share": 0.001}}
 
