Logs tell which request was lost and whether its replica crashed

What callers saw: one route refused for seconds while replicas ended one after the other. The logs could not tell which request came back, nor a crash from a reset connection. Now each request has a fingerprint (method, host, target, headers without those of the attempt, body), the same at each instance, and goes with groups as an optional field. A call whose connection ends is kept until the replica shows whether it lives: by an answer, by refusing the one connection that is opened when none is left, by another replica's 421, or by a later start in the registry.

Ruled out as evidence: the lost connection alone. Nothing is decided by it yet.

--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -110,6 +110,17 @@
     std::string value;
 };
 
+/// Identifies what a request asks for and who asks, whatever its ID, attempt, deadline or connection.
+struct RequestFingerprint {
+    /// 0 when unknown.
+    uint64_t value = 0;
+
+    bool isValid() const { return value != 0; }
+    bool operator==(const RequestFingerprint&) const = default;
+    template <typename Hash>
+    friend Hash AbslHashValue(Hash state, const RequestFingerprint& fingerprint) { return Hash::combine(std::move(state), fingerprint.value); }
+};
+
 /// Request of a caller in the form in which it is forwarded to a replica.
 struct ForwardedRequest {
     std::string requestId;
@@ -120,6 +131,8 @@
     /// End-to-end headers, except those that the query tier sets itself.
     std::vector<HeaderField> headers;
     std::string body;
+    /// Not set in a group of an instance whose build does not send it.
+    RequestFingerprint fingerprint;
     /// Encoded start of the request head, which is the same in every call for this request.
     std::string commonHead;
     /// Limit on the body of a replica's reply in bytes.
@@ -211,7 +224,7 @@
 
 /// Request to another instance, called the aggregator, to gather a group of a search's shards.
 struct GroupRequest {
-    /// Only the id, method, target, host and `commonHead` are set; headers and body are empty.
+    /// Only the id, method, target, host, fingerprint and `commonHead` are set; headers and body are empty.
     ForwardedRequest forwarded;
     std::string route;
     std::vector<std::string> shards;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -82,6 +82,7 @@
     init.groups = instanceLinks_.get();
     init.relays = instanceLinks_.get();
     init.announcements = this;
+    init.crashes = this;
     init.reach = &reach_;
     init.clock = &clock_;
     init.transport = replicaLinks_.get();
@@ -199,6 +200,7 @@
 {
     checkSuspension();
     state_.directory().tick(clock_.now());
+    dispatcher_->checkCrashes();
     chooseSource();
     updateFleetSize();
     updateInstances();
@@ -383,6 +385,7 @@
         return;
     }
     request.forwarded.commonHead = platform::encodeCommonHead(request.forwarded);
+    request.forwarded.fingerprint = platform::fingerprintOf(request.forwarded);
     dispatcher_->startRelayed(exchange | kRelayRequestBit, std::move(request));
 }
 
@@ -484,21 +487,6 @@
     uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kMaintenancePeriod.count()));
 }
 
-void Gateway::onReplicaLeaving(const Replica& replica, std::string_view source)
-{
-    log_.logger().info("event=replica id={} service={} state=leaving born={} source={}", replica.entry.id, replica.entry.service, replica.entry.startedAt, source);
-}
-
-void Gateway::onReplicaBackOff(const Replica& replica, Millis time)
-{
-    log_.logger().info("event=replica_back_off id={} service={} for_ms={}", replica.entry.id, replica.entry.service, time.count());
-}
-
-void Gateway::onReplicaRateLimit(const Replica& replica, uint32_t sharers)
-{
-    log_.logger().info("event=replica_rate_limit id={} service={} limited={} per_second={} sharers={}", replica.entry.id, replica.entry.service, replica.rate.isLimited(), replica.rate.limit(), sharers);
-}
-
 void Gateway::applyConfig(RoutingDocument document, std::string_view source)
 {
     const uint64_t version = document.version;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,7 +14,7 @@
 
 namespace limpettrestle {
 
-class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public ClusterStateI, public PeerHandlerI, public ReplicaAnnouncementsI {
+class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public ClusterStateI, public PeerHandlerI, public ReplicaAnnouncementsI, public CrashObserverI {
 public:
     Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
     ~Gateway() override;
@@ -44,6 +44,8 @@
     void onReplicaLeaving(const Replica& replica, std::string_view source) override;
     void onReplicaBackOff(const Replica& replica, Millis time) override;
     void onReplicaRateLimit(const Replica& replica, uint32_t sharers) override;
+    void onCallLost(const Replica& replica, const ForwardedRequest& request) override;
+    void onReplicaCrashed(const Replica& replica, CrashEvidence evidence, const std::vector<CrashReport>& reports) override;
     /// Updates the unreachable zones and announces them to the other instances of the zone.
     void updateReach();
     /// Replies to the instance for which a group was gathered, or which relayed a request.
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -10,6 +10,8 @@
     /// Limit on shards in a group, far above the size of any group that an instance forms.
     constexpr size_t kMaxGroupShards = 10000;
 
+    /// Index of the fingerprint in a request; instances of earlier releases do not send it.
+    constexpr size_t kFingerprintField = 11;
     /// Index of the leaving replicas in a reply; instances of earlier releases do not send them.
     constexpr size_t kLeavingReplicasField = 5;
     /// Index of the rate limits in a reply, likewise.
@@ -22,7 +24,7 @@
     const ForwardedRequest& forwarded = request.forwarded;
     return toMessagePack(json::array({ binary(forwarded.requestId), binary(forwarded.method), binary(forwarded.target), binary(forwarded.host),
         binary(forwarded.commonHead), request.route, request.shards, request.softTimeout.count(), request.timeLeft.count(),
-        request.maxAttempts, request.topRecords }));
+        request.maxAttempts, request.topRecords, forwarded.fingerprint.value }));
 }
 
 std::optional<GroupRequest> decodeGroupRequest(const std::string& bytes)
@@ -42,6 +44,8 @@
         request.timeLeft = Millis(root.at(8).get<int64_t>());
         request.maxAttempts = root.at(9).get<uint32_t>();
         request.topRecords = root.at(10).get<uint32_t>();
+        if (root.size() > kFingerprintField)
+            request.forwarded.fingerprint.value = root.at(kFingerprintField).get<uint64_t>();
         if (request.shards.empty() || request.shards.size() > kMaxGroupShards || request.timeLeft <= Millis::zero() || request.maxAttempts == 0)
             return std::nullopt;
         return request;
--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -45,6 +45,8 @@
     std::vector<std::unique_ptr<Channel>> channels;
     /// IDs of calls that wait for a connection, oldest first.
     std::deque<uint64_t> queue;
+    /// A call was lost, and no connection has been established since.
+    bool hasLostCall = false;
     /// The replica has sent a request ID in a reply, so that a reply without one does not belong to a call.
     bool sendsRequestIds = false;
 };
@@ -62,6 +64,7 @@
     {
         isIdle = true;
         lastUsedAt = links_.clock_.now();
+        link.hasLostCall = false;
         link.replica->health.connected(lastUsedAt);
         links_.sendQueued(link);
     }
@@ -332,10 +335,13 @@
 {
     const std::unique_ptr<Channel> detached = detach(channel);
     Link& link = detached->link;
-    const bool isConnectFailure = reason == CloseReason::ConnectFailed || reason == CloseReason::ConnectTimeout;
+    const bool isRefused = reason == CloseReason::ConnectRefused;
+    const bool isConnectFailure = isRefused || reason == CloseReason::ConnectFailed || reason == CloseReason::ConnectTimeout;
     if (isConnectFailure) {
         ++stats_.connectFailures;
         link.replica->health.connectFailed(clock_.now());
+        if (isRefused && link.channels.empty())
+            dispatcher_->replicaRefusedConnection(link.replica);
         if (link.channels.empty())
             failQueued(link);
         return;
@@ -343,9 +349,13 @@
     stats_.oversizedReplies += reason == CloseReason::TooLarge ? 1 : 0;
     if (detached->call != 0) {
         calls_.erase(detached->call);
+        link.hasLostCall = true;
         dispatcher_->callFailed(detached->call, reason == CloseReason::Protocol || reason == CloseReason::TooLarge ? CallFailure::Malformed : CallFailure::Lost);
     }
     sendQueued(link);
+    // The replica may have ended. Whether it accepts a connection tells.
+    if (link.hasLostCall && link.channels.empty() && link.replica->acceptsWork())
+        openChannel(link);
 }
 
 ResponseAction ReplicaLinks::onChannelResponse(Channel& channel, HttpResponse response, bool isReusable)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 6> kCloseReasonNames = { "connect_failed", "connect_timeout", "closed", "reset", "protocol", "too_large" };
+    constexpr std::array<std::string_view, 7> kCloseReasonNames = { "connect_failed", "connect_refused", "connect_timeout", "closed", "reset", "protocol", "too_large" };
     /// TCP_USER_TIMEOUT, longer than retransmissions take on a working link: a peer that acknowledges nothing for this
     /// long is considered dead.
     constexpr int kTcpUserTimeoutMs = 2000;
@@ -83,7 +83,7 @@
         return;
     uv_timer_stop(&self.connectTimer_);
     if (status != 0) {
-        self.closeAndNotify(CloseReason::ConnectFailed);
+        self.closeAndNotify(status == UV_ECONNREFUSED ? CloseReason::ConnectRefused : CloseReason::ConnectFailed);
         return;
     }
     self.isConnected_ = true;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -15,6 +15,8 @@
 /// Why a connection was closed.
 enum class CloseReason : uint8_t {
     ConnectFailed,
+    /// Nobody listens at the address.
+    ConnectRefused,
     ConnectTimeout,
     /// The peer closed the connection gracefully.
     Closed,
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -4,6 +4,7 @@
 /// deadlines, merges the replies of parts, and produces one final answer per request. Performs no
 /// I/O and creates no threads.
 
+#include "../connection/crash_detector.h"
 #include "../connection/latency_quantile.h"
 #include "../connection/load_budget.h"
 #include "../connection/replica_choice.h"
@@ -104,6 +105,34 @@
     virtual void onReplicaRateLimit(const Replica& replica, uint32_t sharers) = 0;
 };
 
+/// Request whose call was lost when a replica crashed.
+struct CrashReport {
+    ReplicaRun replica;
+    RequestFingerprint request;
+    TimePoint sentAt {};
+    TimePoint endedAt {};
+};
+
+/// How the end of a replica's process was noticed.
+enum class CrashEvidence : uint8_t {
+    ConnectionRefused,
+    /// Another replica answers at the address.
+    AddressTaken,
+    /// A later process is registered under the replica's ID.
+    Restarted,
+};
+std::string_view name(CrashEvidence value);
+
+/// Receives what is learned about crashes of replicas.
+class CrashObserverI {
+public:
+    virtual ~CrashObserverI() = default;
+    /// A call ended with its connection, for whatever reason.
+    virtual void onCallLost(const Replica& replica, const ForwardedRequest& request) = 0;
+    /// A replica has crashed; `reports` tells which requests of this instance it was given.
+    virtual void onReplicaCrashed(const Replica& replica, CrashEvidence evidence, const std::vector<CrashReport>& reports) = 0;
+};
+
 struct DispatcherInit {
     const ClockI* clock = nullptr;
     ReplicaTransportI* transport = nullptr;
@@ -116,6 +145,8 @@
     RelayTransportI* relays = nullptr;
     /// Null if announcements are not reported.
     ReplicaAnnouncementsI* announcements = nullptr;
+    /// Null if crashes are not observed.
+    CrashObserverI* crashes = nullptr;
     /// Tells which zones are currently unreachable; null if reachability is not monitored.
     const ZoneReach* reach = nullptr;
     /// Zone of this instance.
@@ -192,6 +223,11 @@
     /// Reports that a replica announced that it leaves, in a reply that belongs to no call.
     void replicaLeaving(const ReplicaPtr& replica) { noteLeaving(replica, "replica"); }
 
+    /// Reports that nobody listens at the replica's address and that this instance has no connection to it.
+    void replicaRefusedConnection(const ReplicaPtr& replica) { noteCrash(replica, CrashEvidence::ConnectionRefused); }
+    /// Looks for signs that replicas with lost calls have crashed. Must be called periodically.
+    void checkCrashes();
+
     void groupAnswered(uint64_t group, GroupReply reply);
     /// `mayHaveRun`: the aggregator may have called replicas.
     void groupFailed(uint64_t group, bool mayHaveRun);
@@ -243,6 +279,8 @@
     void acceptPartReply(OpenRequest& openRequest, size_t partIndex, ReplicaReply reply);
     void acceptForwardedReply(OpenRequest& openRequest, size_t partIndex, ReplicaReply reply);
 
+    void noteLostCall(const Call& call);
+    void noteCrash(const ReplicaPtr& replica, CrashEvidence evidence);
     void noteLeaving(const ReplicaPtr& replica, std::string_view source);
     void noteLeaving(const std::vector<ReplicaRun>& runs, std::string_view source);
     void noteBackOff(const ReplicaPtr& replica, Millis time);
@@ -309,6 +347,7 @@
     absl::flat_hash_map<uint64_t, Group> groups_;
     absl::flat_hash_map<uint64_t, Relay> relays_;
     RelayChoice relayChoice_;
+    CrashDetector crashDetector_;
     /// Newest version of the configuration by which another instance has processed a request of this one. Callers must not
     /// be taken back to an older one by the next instance.
     uint64_t relayedVersion_ = 0;
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -97,6 +97,7 @@
     call->request = openRequest.id;
     call->part = partIndex;
     call->replica = replica;
+    call->forwarded = openRequest.request;
     call->startedAt = now;
     call->expectedDuration = openRequest.routeState->meanDuration;
     const uint64_t id = call->id;
@@ -202,8 +203,12 @@
         replica.health.callEnded(call.id, now, CallEnd::Failed);
     else
         replica.health.callAnswered(call.id, now);
-    if (reply.isMisdirected)
+    if (reply.isMisdirected) {
         init_.directory->retire(call.replica);
+        noteCrash(call.replica, CrashEvidence::AddressTaken);
+    } else {
+        crashDetector_.replicaAnswered(call.replica);
+    }
     if (reply.isLeaving)
         noteLeaving(call.replica, "replica");
     // A misdirected call was answered by another replica.
@@ -229,6 +234,8 @@
     openRequest.routeState->meanDuration += std::chrono::duration_cast<Micros>((duration - openRequest.routeState->meanDuration) * kMeanWeight);
     if (part.state != PartState::Open)
         return;
+    if (isSuccess(reply.status) && !reply.signature.empty())
+        crashDetector_.requestAnswered(call.forwarded->fingerprint);
     if (isSuccess(reply.status) && reply.signature.empty()) {
         retryOrFail(openRequest, call.part, ResultCode::ForeignReply, "unsigned");
         return;
@@ -277,6 +284,8 @@
         call.replica->health.connectFailed(now);
     else
         call.replica->health.callEnded(call.id, now, CallEnd::Failed);
+    if (failure == CallFailure::Lost)
+        noteLostCall(call);
     const auto owner = requests_.find(call.request);
     if (owner == requests_.end())
         return;
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -49,6 +49,7 @@
     request.forwarded.target = openRequest.request->target;
     request.forwarded.host = openRequest.request->host;
     request.forwarded.commonHead = openRequest.request->commonHead;
+    request.forwarded.fingerprint = openRequest.request->fingerprint;
     request.route = openRequest.route->name;
     request.softTimeout = std::max<Micros>(Millis(1), std::chrono::duration_cast<Micros>(openRequest.softDeadlineAt - now) - delay);
     request.timeLeft = std::max(Millis(1), std::chrono::duration_cast<Millis>(openRequest.deadlineAt - now));
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -130,6 +130,8 @@
     uint64_t request = 0;
     size_t part = 0;
     ReplicaPtr replica;
+    /// The request, which the call may outlive.
+    RequestPtr forwarded;
     TimePoint startedAt {};
     TimePoint sentAt {};
     bool isSent = false;
