Tests that fail: a request that crashes its replicas is sent to one after the other

Four real instances and stand-in replicas that end when they run one certain request and are back 1.5 s later with a new start. It comes every 150 ms at each instance in turn, beside other requests of its route. Three and the retries of the first four seconds are allowed. The tests require more than the rule: refusals at once, with a status that callers do not repeat, all other requests served, and a restarted instance that refuses too.

--- a/standins/registry_platform.py
+++ b/standins/registry_platform.py
@@ -122,7 +122,8 @@
     `delay` is the duration of a call in seconds. `mode` is "ok", "shed" (refuses calls with status 503), "silent"
     (accepts calls without a reply), "copies" (sends each reply again after 5 ms), "copies_without_id" (the second one
     without the request's ID), "shed_once_copied" (refuses the first call of each request, and sends the refusal again
-    after 30 ms), or one of `BROKEN_REPLIES` (ends the reply halfway).
+    after 30 ms), or one of `BROKEN_REPLIES` (ends the reply halfway). A request whose path contains `crashes_on` ends the
+    replica's process: its connections and its listener close, and it is back after `restart_after` seconds.
     """
 
     # Ways to end a reply of which half of the body has been sent.
@@ -136,6 +137,9 @@
         self.born = int(time.time() * 1000)
         # IDs of the requests that "shed_once_copied" has refused.
         self.refused = set()
+        self.crashes_on, self.restart_after, self.crash_delay = None, 1.5, 0.03
+        # Times of the crashes, and the open connections, which end with the process.
+        self.crashes, self.connections, self.crashing = [], set(), threading.Lock()
         replica = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -144,12 +148,21 @@
             def log_message(self, *_):
                 pass
 
+            def setup(self):
+                super().setup()
+                replica.connections.add(self.connection)
+
+            def finish(self):
+                replica.connections.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 replica.serve(self)
 
             do_POST = do_GET
 
+        self.handler = Handler
         self.server = Server(Handler)
         self.report()
 
@@ -162,6 +175,28 @@
         self.state = "draining"
         self.report()
 
+    def crash(self):
+        """Ends the process, and starts another one under the same ID and address later."""
+        if not self.crashing.acquire(blocking=False):
+            return
+        self.crashes.append(time.monotonic())
+        server, self.state = self.server, "down"
+        server.http.socket.close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        threading.Timer(self.restart_after, self.restart).start()
+
+    def restart(self):
+        self.server.close()
+        self.server = Server(self.handler, self.server.port)
+        self.born, self.seq, self.state = int(time.time() * 1000), 0, "ready"
+        self.report()
+        self.crashing.release()
+
     def serve(self, request):
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", ""), "X-Server-Load": "0,0,2"}
         status, body = 200, b""
@@ -175,6 +210,11 @@
             if self.mode == "silent":
                 time.sleep(5)
                 return
+            if self.crashes_on and self.crashes_on in request.path:
+                time.sleep(self.crash_delay)
+                self.crash()
+                request.close_connection = True
+                return
             time.sleep(self.delay)
             headers["X-Server-Stamp"] = f"{self.id}.{request.headers.get('X-Request-Id')}"
             body = b"".join(self.records) if self.records else f"{request.command} {request.path}".encode()
@@ -227,7 +267,7 @@
         while not self.stopping:
             time.sleep(self.period)
             for replica in list(self.replicas):
-                if not self.is_store_failing(replica) and f"servers/{replica.id}" in replica.store.items:
+                if replica.state != "down" and not self.is_store_failing(replica) and f"servers/{replica.id}" in replica.store.items:
                     replica.report()
 
     @staticmethod
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -111,14 +111,14 @@
 
 # Store, replicas and gateways of one test.
 class Cluster:
-    def __init__(self, gateways=3, readers=2, processor_share=1.0):
+    def __init__(self, gateways=3, readers=2, processor_share=1.0, cards=2):
         self.folder = tempfile.mkdtemp(prefix="gateway-")
         self.store = Store()
         self.replicas = []
         for shard in range(SHARDS):
             for copy in range(2):
                 self.replicas.append(Replica(self.store, f"s{shard}", copy, records=[record(shard + 1, n) for n in range(3)]))
-        for number in range(2):
+        for number in range(cards):
             self.replicas.append(Replica(self.store, "card", number))
         self.heartbeats = Heartbeats(self.replicas)
         self.version = 0
@@ -450,11 +450,85 @@
     require(oversized > 0, "no reply was counted as too large")
 
 
+def repeat_beside_others(cluster, send_crashing, send_other, seconds):
+    """Sends a request that crashes its replicas every 150 ms, at each instance in turn, beside other ones.
+
+    Returns the results of both as lists of (time sent, status, seconds until the answer)."""
+    crashing, others, stopping = [], [], []
+
+    def load(worker):
+        number = 0
+        while not stopping:
+            number += 1
+            begin = time.monotonic()
+            status = send_other(cluster.gateways[(number + worker) % len(cluster.gateways)], f"o{worker}-{number}")
+            others.append((begin, status, time.monotonic() - begin))
+            time.sleep(0.03)
+
+    threads = [threading.Thread(target=load, args=(worker,)) for worker in range(3)]
+    for thread in threads:
+        thread.start()
+    end, number = time.monotonic() + seconds, 0
+    while time.monotonic() < end:
+        number += 1
+        begin = time.monotonic()
+        status = send_crashing(cluster.gateways[number % len(cluster.gateways)], f"x{number}")
+        crashing.append((begin, status, time.monotonic() - begin))
+        time.sleep(max(0.0, begin + 0.15 - time.monotonic()))
+    stopping.append(True)
+    for thread in threads:
+        thread.join()
+    return crashing, others
+
+
+def check_crashing_request(cluster, send_crashing, send_other):
+    """A request that crashes its replicas is refused everywhere from the fourth second after the third crash on, at
+    once and with a status after which callers do not repeat it, and the other requests of its route are served."""
+    for replica in cluster.replicas:
+        replica.crashes_on = "crash"
+    crashing, others = repeat_beside_others(cluster, send_crashing, send_other, 8)
+    crashes = sorted(when for replica in cluster.replicas for when in replica.crashes)
+    require(crashes, "no replica crashed")
+    require(len(crashes) < 3 or sum(when > crashes[2] + 4 for when in crashes) <= 3, f"{len(crashes)} crashes, the last {crashes[-1] - crashes[0]:.1f} s after the first")
+    late = [result for result in crashing if result[0] > crashes[0] + 4]
+    require(all(status == 400 for _, status, _ in late), f"the request was answered with {sorted({status for _, status, _ in late})}")
+    require(all(took < 0.1 for _, _, took in late), f"a refusal took {max(took for _, _, took in late):.3f} s")
+    settled = [status for begin, status, _ in others if begin > crashes[0] + 4]
+    require(settled and all(status == 200 for status in settled), f"{sum(status != 200 for status in settled)} of {len(settled)} other requests failed")
+    restarted = cluster.gateways[-1]
+    restarted.process.kill()
+    restarted.process.wait()
+    restarted.start()
+    wait_for(restarted.is_ready, "the restarted instance is not ready")
+    time.sleep(1.5)
+    before = sum(len(replica.crashes) for replica in cluster.replicas)
+    require(send_crashing(restarted, "again") == 400, "a restarted instance does not refuse the request")
+    require(sum(len(replica.crashes) for replica in cluster.replicas) == before, "a restarted instance sent the request to a replica")
+    return len(crashes), sum(status != 200 for _, status, _ in others)
+
+
+# Guards against the incident of the request that ended its replicas: it was sent to one replica after the other, and the
+# other requests of its route were refused.
+def crashing_request_is_refused(cluster):
+    crashes, lost = check_crashing_request(cluster, lambda gateway, name: gateway.request("/card/crash", name, "POST", b"x")[0],
+                                           lambda gateway, name: gateway.request(f"/card/{name}", name, "POST", b"y")[0])
+    print(f"     {crashes} crashes, {lost} other requests lost")
+
+
+# Guards against the same for a search, which is sent to all shards at once.
+def crashing_search_is_refused(cluster):
+    crashes, lost = check_crashing_request(cluster, lambda gateway, name: gateway.request("/all/crash", name)[0],
+                                           lambda gateway, name: gateway.request(f"/all/{name}", name)[0])
+    print(f"     {crashes} crashes, {lost} other requests lost")
+
+
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load,
-         suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end]
+         suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
+         crashing_request_is_refused, crashing_search_is_refused]
 # Options of `Cluster` for tests that need a different cluster.
-CLUSTER_OPTIONS = {divided_searches: {"gateways": 8, "processor_share": 0.001}}
+CLUSTER_OPTIONS = {divided_searches: {"gateways": 8, "processor_share": 0.001}, crashing_request_is_refused: {"gateways": 4, "cards": 6},
+                   crashing_search_is_refused: {"gateways": 4}}
 
 
 def run(test):
