A request that crashes its replicas is refused everywhere after its second crash

What callers saw: on one route all replicas ended again and again, and most of its requests were refused, because one request that came back was sent to the next replica each time. Cause: what an instance learned from a lost call it kept by replica (health, back-off), nothing by request, and no instance saw more than two of the losses. So neither memory of an instance nor the sight of one instance suffices.

Now each instance reports, to all that it knows and to the readers, which requests were lost on a replica that has crashed. All keep the same ledger: a request with two crashes, the second of a call sent after the first, is quarantined if no other request was lost on both replicas, else with three; an answer by any replica clears it, everywhere. Quarantined requests are refused at once (218, status 400, which callers do not repeat), their open calls are closed before they crash more, and groups and relays are refused with the reason. A suspect gets no hedge and no repeat, and a suspect search asks one replica first; a search with two lost calls and no answer waits for an answer before more replicas get it. Readers hand out the quarantines, so that restarted instances have them. New fields and the new notice are optional for other builds.

--- a/include/limpettrestle/result_codes.h
+++ b/include/limpettrestle/result_codes.h
@@ -40,6 +40,7 @@
     PeerUnreachable = 215,
     StaleMessage = 216,
     SlotUnavailable = 217,
+    RequestQuarantined = 218,
 
     PartialCoverage = 301,
     CoverageBelowMinimum = 302,
--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -192,6 +192,8 @@
     /// See `ReplicaEntry::startedAt`.
     int64_t startedAt = 0;
     bool operator==(const ReplicaRun&) const = default;
+    template <typename Hash>
+    friend Hash AbslHashValue(Hash state, const ReplicaRun& run) { return Hash::combine(std::move(state), run.id, run.startedAt); }
 };
 
 /// Rate limit that a replica has named.
--- a/src/connection/crash_detector.cpp
+++ b/src/connection/crash_detector.cpp
@@ -6,6 +6,10 @@
 
     /// A replica that has crashed is registered again within this time, or never.
     constexpr Millis kPendingTtl { 6000 };
+    /// Time for which an answer is remembered, longer than a call takes.
+    constexpr Millis kAnswerTtl { 2000 };
+    /// Limit on remembered answers.
+    constexpr size_t kMaxAnswers = 4096;
     /// Limit on the calls kept per replica, above its usual number of connections.
     constexpr size_t kMaxCallsPerReplica = 32;
 
@@ -13,6 +17,9 @@
 
 void CrashDetector::callLost(const ReplicaPtr& replica, const LostCall& call)
 {
+    const auto answer = answeredAt_.find(call.request);
+    if (answer != answeredAt_.end() && answer->second >= call.sentAt)
+        return;
     PendingReplica& pending = pending_[replica.get()];
     pending.replica = replica;
     if (pending.calls.size() < kMaxCallsPerReplica)
@@ -25,8 +32,12 @@
         pending_.erase(replica.get());
 }
 
-void CrashDetector::requestAnswered(RequestFingerprint request)
+void CrashDetector::requestAnswered(RequestFingerprint request, TimePoint now)
 {
+    answeredAt_[request] = now;
+    answers_.emplace_back(now, request);
+    if (answers_.size() > kMaxAnswers)
+        forgetOldestAnswer();
     for (auto& [key, pending] : pending_)
         std::erase_if(pending.calls, [request](const LostCall& call) { return call.request == request; });
 }
@@ -52,8 +63,19 @@
     return restarted;
 }
 
+void CrashDetector::forgetOldestAnswer()
+{
+    const auto [at, request] = answers_.front();
+    answers_.pop_front();
+    const auto found = answeredAt_.find(request);
+    if (found != answeredAt_.end() && found->second <= at)
+        answeredAt_.erase(found);
+}
+
 void CrashDetector::expire(TimePoint now)
 {
+    while (!answers_.empty() && now - answers_.front().first > kAnswerTtl)
+        forgetOldestAnswer();
     absl::erase_if(pending_, [now](const auto& entry) {
         const std::vector<LostCall>& calls = entry.second.calls;
         return calls.empty() || now - calls.back().lostAt > kPendingTtl;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -83,6 +83,7 @@
     init.relays = instanceLinks_.get();
     init.announcements = this;
     init.crashes = this;
+    init.crashLedger = &crashLedger_;
     init.reach = &reach_;
     init.clock = &clock_;
     init.transport = replicaLinks_.get();
@@ -96,6 +97,7 @@
     dispatcher_ = std::make_unique<Dispatcher>(init);
     replicaLinks_->setDispatcher(*dispatcher_);
     instanceLinks_->setDispatcher(*dispatcher_);
+    crashExchange_ = std::make_unique<CrashExchange>(CrashExchangeInit { &clock_, instanceInfo(), &crashLedger_, &instances_, instanceLinks_.get(), settings_.seeds });
 }
 
 void Gateway::makePeerExchange()
@@ -184,6 +186,7 @@
 
 void Gateway::scheduleTick()
 {
+    crashExchange_->flush();
     const TimePoint next = dispatcher_->nextTickAt();
     if (next == TimePoint::max()) {
         uv_timer_stop(&tickTimer_);
@@ -200,7 +203,7 @@
 {
     checkSuspension();
     state_.directory().tick(clock_.now());
-    dispatcher_->checkCrashes();
+    updateQuarantines();
     chooseSource();
     updateFleetSize();
     updateInstances();
@@ -516,6 +519,7 @@
         instances_.renewReport(reply.sender, now);
     if (reply.config)
         applyConfig(*reply.config, reply.sender);
+    adoptQuarantines(reply);
     const bool isAccepted = reply.includesReplicas && state_.acceptsEra(reply.era) && sourceChoice_->acceptsReplicas(registryClient_->isActive(), reply.age, now);
     if (isAccepted) {
         const bool wasComplete = state_.isComplete();
@@ -558,6 +562,8 @@
             reply.written.push_back(replica->entry);
     }
     reply.removed = changes.removed;
+    if (request.quarantineDigest && *request.quarantineDigest != crashLedger_.digest())
+        reply.quarantines = crashLedger_.quarantines(kMaxQuarantineEntries, now);
     if (changes.hasConfig && configVersion() > request.configVersion)
         reply.config = dispatcher_->table()->document();
     return reply;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "../net/http_server.h"
 #include "../process/reachability.h"
 #include "cluster_state.h"
+#include "crash_exchange.h"
 #include "event_log.h"
 #include "gateway_metrics.h"
 #include "instance_links.h"
@@ -46,6 +47,13 @@
     void onReplicaRateLimit(const Replica& replica, uint32_t sharers) override;
     void onCallLost(const Replica& replica, const ForwardedRequest& request) override;
     void onReplicaCrashed(const Replica& replica, CrashEvidence evidence, const std::vector<CrashReport>& reports) override;
+    void onRequestCleared(RequestFingerprint request) override;
+    void onRequestQuarantined(RequestFingerprint request) override;
+    void onCrashNotice(const CrashNotice& notice) override;
+    /// Looks for crashes that show late, and ends quarantines whose time is over.
+    void updateQuarantines();
+    /// Applies the quarantines in a reader's reply.
+    void adoptQuarantines(const ChangesReply& reply);
     /// Updates the unreachable zones and announces them to the other instances of the zone.
     void updateReach();
     /// Replies to the instance for which a group was gathered, or which relayed a request.
@@ -103,6 +111,8 @@
     std::unique_ptr<ReplicaLinks> replicaLinks_;
     std::unique_ptr<InstanceLinks> instanceLinks_;
     std::unique_ptr<GatherPlan> plan_;
+    CrashLedger crashLedger_;
+    std::unique_ptr<CrashExchange> crashExchange_;
     InstanceDirectory instances_;
     std::unique_ptr<Dispatcher> dispatcher_;
     std::unique_ptr<HttpServer> callerServer_;
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -60,6 +60,8 @@
     metrics_.setGauge("limpettrestle_replica_connections", "Open connections to replicas", static_cast<double>(replicaLinks_->stats().openConnections));
     metrics_.setGauge("limpettrestle_replies_oversized_total", "Replies of replicas that exceeded a size limit", static_cast<double>(replicaLinks_->stats().oversizedReplies));
     metrics_.setGauge("limpettrestle_connections_opened_total", "Connections opened to replicas", static_cast<double>(replicaLinks_->stats().connectionsOpened));
+    metrics_.setGauge("limpettrestle_requests_quarantined", "Different requests that are not sent to replicas because they crash them", static_cast<double>(crashLedger_.quarantinedCount()));
+    metrics_.setGauge("limpettrestle_quarantined_requests_total", "Requests refused or ended because they crash replicas", static_cast<double>(stats.quarantinedRequests));
     metrics_.setGauge("limpettrestle_replicas_rate_limited", "Replicas that limit their request rate", countRateLimited(state_.directory()));
     metrics_.setGauge("limpettrestle_log_lines_dropped_total", "Log lines dropped", static_cast<double>(log_.dropped()));
     metrics_.setGauge("limpettrestle_open_requests", "Requests without an answer", static_cast<double>(dispatcher_->openRequests()));
--- a/src/gateway/gateway_replica_events.cpp
+++ b/src/gateway/gateway_replica_events.cpp
@@ -33,6 +33,43 @@
     for (const CrashReport& report : reports)
         requests.push_back(fmt::format("{:016x}", report.request.value));
     log_.logger().info("event=replica_crashed id={} service={} born={} evidence={} requests={}", replica.entry.id, replica.entry.service, replica.entry.startedAt, name(evidence), fmt::join(requests, ","));
+    crashExchange_->report(reports);
+}
+
+void Gateway::onRequestCleared(RequestFingerprint request)
+{
+    log_.logger().info("event=request_cleared fingerprint={:016x}", request.value);
+    crashExchange_->reportCleared(request);
+}
+
+void Gateway::onRequestQuarantined(RequestFingerprint request)
+{
+    log_.logger().warn("event=request_quarantined fingerprint={:016x} crashes={} quarantined={}", request.value, crashLedger_.crashCount(request), crashLedger_.quarantinedCount());
+    follower_->setQuarantineDigest(crashLedger_.digest());
+}
+
+void Gateway::onCrashNotice(const CrashNotice& notice)
+{
+    for (const CrashReport& report : notice.reports)
+        log_.logger().info("event=crash_reported id={} born={} fingerprint={:016x} sender={}", report.replica.id, report.replica.startedAt, report.request.value, notice.sender);
+    crashExchange_->receive(notice);
+    dispatcher_->applyQuarantines();
+}
+
+void Gateway::updateQuarantines()
+{
+    dispatcher_->checkCrashes();
+    crashLedger_.expire(clock_.now());
+    follower_->setQuarantineDigest(crashLedger_.digest());
+}
+
+void Gateway::adoptQuarantines(const ChangesReply& reply)
+{
+    for (const QuarantineEntry& entry : reply.quarantines) {
+        if (crashLedger_.adopt(entry, clock_.now()))
+            log_.logger().warn("event=quarantine_adopted fingerprint={:016x} term={} sender={}", entry.request.value, entry.term, reply.sender);
+    }
+    dispatcher_->applyQuarantines();
 }
 
 } // namespace limpettrestle
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -51,9 +51,13 @@
         handleReachNotice(exchange, request.body);
         return;
     }
+    if (request.target == kCrashesPath) {
+        handleCrashNotice(exchange, request.body);
+        return;
+    }
     const std::optional<ChangesRequest> changes = decodeTarget(request.target);
     if (!changes) {
-        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST\n");
+        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST&quarantine=DIGEST\n");
         return;
     }
     const TimePoint now = clock_.now();
@@ -77,6 +81,22 @@
         return;
     }
     handler_.onReachNotice(*notice);
+    confirmNotice(exchange);
+}
+
+void PeerServer::handleCrashNotice(ExchangeId exchange, const std::string& body)
+{
+    const std::optional<CrashNotice> notice = decodeCrashNotice(body, clock_.now());
+    if (!notice) {
+        rejectRequest(exchange, "expected the sender, its zone, crashes and cleared requests\n");
+        return;
+    }
+    handler_.onCrashNotice(*notice);
+    confirmNotice(exchange);
+}
+
+void PeerServer::confirmNotice(ExchangeId exchange)
+{
     HttpResponse response;
     response.status = 204;
     server.respond(exchange, std::move(response));
@@ -213,7 +233,7 @@
     isPositionReset_ = false;
     connectedPeer_ = peer;
     const bool isReading = sourceChoice_.readsRegistry(clock_.now());
-    request_ = { positions_[peer], hold, sourceChoice_.acceptableAge(isReading, clock_.now()), configVersion_, era_, isReader_ ? InstanceInfo {} : self_, instanceDigests_[peer] };
+    request_ = { positions_[peer], hold, sourceChoice_.acceptableAge(isReading, clock_.now()), configVersion_, era_, isReader_ ? InstanceInfo {} : self_, instanceDigests_[peer], quarantineDigest_ };
     callTimeoutAt_ = clock_.now() + hold + kReplyTimeoutMargin;
     if (connection_ == nullptr)
         connection_ = HttpClientConnection::open(loop_, peers_[peer].host, peers_[peer].port, kConnectTimeout, *this);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -42,6 +42,7 @@
     /// The connection of the sender of a group or relay was closed before the response.
     virtual void onExchangeCancelled(ExchangeId exchange) = 0;
     virtual void onReachNotice(const ReachNotice& notice) = 0;
+    virtual void onCrashNotice(const CrashNotice& notice) = 0;
 };
 
 /// Serves changes to followers by long polls: a reply is held until there are changes or the hold time ends.
@@ -69,6 +70,8 @@
 
     void answer(const HeldRequest& held);
     void handleReachNotice(ExchangeId exchange, const std::string& body);
+    void handleCrashNotice(ExchangeId exchange, const std::string& body);
+    void confirmNotice(ExchangeId exchange);
     void rejectRequest(ExchangeId exchange, std::string problem);
 
     const ClockI& clock_;
@@ -94,6 +97,8 @@
     void setConfigVersion(uint64_t version) { configVersion_ = version; }
     /// Era of the replicas of this instance, sent with each call.
     void setEra(uint64_t era) { era_ = era; }
+    /// Digest of the quarantines of this instance, sent with each call.
+    void setQuarantineDigest(uint64_t digest) { quarantineDigest_ = digest; }
     void setHandlers(ReplyHandler onReply, FailureHandler onFailure);
     /// Fails a call that has timed out and starts the next call when one is due. Must be called periodically.
     void tick();
@@ -123,6 +128,7 @@
     FailureHandler onFailure_;
     uint64_t configVersion_ = 0;
     uint64_t era_ = 0;
+    uint64_t quarantineDigest_ = 0;
     /// Position of the last changes received from each peer.
     std::vector<ChangePosition> positions_;
     /// Digest of the last list of instances received from each peer.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -160,6 +160,8 @@
 {
     std::string target = fmt::format("{}run={}&after={}&hold={}&age={}&config={}&era={}&instances={}", kChangesPath, request.after.run, request.after.number, request.hold.count(),
         request.acceptableAge.count(), request.configVersion, request.era, request.instancesDigest);
+    if (request.quarantineDigest)
+        fmt::format_to(std::back_inserter(target), "&quarantine={}", *request.quarantineDigest);
     const InstanceInfo& follower = request.follower;
     if (!follower.name.empty())
         fmt::format_to(std::back_inserter(target), "&name={}&zone={}&address={}:{}", follower.name, follower.zone, follower.host, follower.port);
@@ -197,6 +199,8 @@
             isValid &= parseAddress(value, request.follower);
         } else if (name == "instances") {
             isValid &= parseNumber(value, request.instancesDigest);
+        } else if (name == "quarantine") {
+            isValid &= parseNumber(value, request.quarantineDigest.emplace());
         }
     });
     if (!isValid)
@@ -213,6 +217,8 @@
         { "sender", reply.sender }, { "following", reply.following }, { "fleet", reply.fleet }, { "instances_digest", reply.instancesDigest }, { "written", written }, { "removed", reply.removed } };
     if (reply.config)
         root["config"] = encodeConfig(*reply.config);
+    if (!reply.quarantines.empty())
+        root["quarantines"] = encodeQuarantines(reply.quarantines);
     if (reply.instances)
         root["instances"] = encodeInstances(*reply.instances);
     return root.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -236,6 +242,8 @@
         reply.instancesDigest = root.at("instances_digest").get<uint64_t>();
         if (root.contains("instances"))
             reply.instances = decodeInstances(root["instances"]);
+        if (root.contains("quarantines"))
+            reply.quarantines = decodeQuarantines(root["quarantines"]);
         for (const json& entry : root.at("written"))
             reply.written.push_back(decodeEntry(entry));
         reply.removed = root.at("removed").get<std::vector<std::string>>();
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,10 +1,12 @@
 #pragma once
 
 /// Messages between instances. A follower polls a reader for changes by JSON over HTTP on the peer address:
-/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST`.
+/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST&quarantine=DIGEST`.
+/// Receivers ignore fields that they do not know, and builds differ while instances are replaced, so new fields are optional.
 
 #include "../process/change_log.h"
 #include "../process/instance_directory.h"
+#include "crash_messages.h"
 
 #include <optional>
 
@@ -29,6 +31,8 @@
     InstanceInfo follower;
     /// Digest of the last list of instances that the requester received; 0 when there is none.
     uint64_t instancesDigest = 0;
+    /// Digest of the quarantines of the requester; unset when its build does not know quarantines.
+    std::optional<uint64_t> quarantineDigest;
 };
 
 struct ChangesReply {
@@ -56,6 +60,8 @@
     std::vector<ReplicaEntry> written;
     /// IDs of replicas that were removed.
     std::vector<std::string> removed;
+    /// Latest quarantines of the sender; empty when the requester has the same ones.
+    std::vector<QuarantineEntry> quarantines;
     /// The active configuration; unset unless it is newer than the requester's.
     std::optional<RoutingDocument> config;
 };
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -129,6 +129,8 @@
         reject(request, forwarded, ResultCode::UnknownPath, Millis(-1));
         return;
     }
+    if (rejectQuarantined(request, forwarded))
+        return;
     if (requests_.size() >= init_.maxRequests) {
         reject(request, forwarded, ResultCode::Overloaded, kLongRetryAfter);
         return;
@@ -241,8 +243,8 @@
         else
             handleFailure(*call, event.failure);
         const auto owner = requests_.find(call->request);
-        if (owner != requests_.end())
-            finishIfDecided(*owner->second);
+        if (owner != requests_.end() && !finishIfDecided(*owner->second) && owner->second->isHeldBack)
+            updateRequest(*owner->second);
     }
     isProcessingEvents_ = false;
 }
@@ -275,7 +277,7 @@
     return openRequest;
 }
 
-void Dispatcher::reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter)
+void Dispatcher::reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter, std::string trail)
 {
     RouteAnswer answer;
     answer.code = code;
@@ -287,6 +289,7 @@
     report.code = code;
     report.status = answer.status;
     report.callerTimeout = forwarded.callerTimeout;
+    report.trail = std::move(trail);
     init_.answers->answer(request, std::move(answer), report);
 }
 
@@ -320,6 +323,7 @@
     if (openRequest.isMerged() && openRequest.softDeadlineAt > now)
         openRequest.nextUpdateAt = std::min(openRequest.nextUpdateAt, openRequest.softDeadlineAt);
     updateGroups(openRequest);
+    updateHeldBack(openRequest);
     for (size_t i = 0; i < openRequest.parts.size(); ++i)
         updatePart(openRequest, i);
     finishIfDecided(openRequest);
@@ -409,15 +413,16 @@
 void Dispatcher::answerFailure(OpenRequest& openRequest, ResultCode code)
 {
     noteBlockedFailure(openRequest);
-    if (openRequest.relayTargets.empty() && mayRelay(openRequest) && tryRelay(openRequest))
+    const bool isQuarantined = code == ResultCode::RequestQuarantined;
+    if (!isQuarantined && openRequest.relayTargets.empty() && mayRelay(openRequest) && tryRelay(openRequest))
         return;
     const bool mayHaveRun = openRequest.relay != 0 || openRequest.mayHaveRunElsewhere
         || std::any_of(openRequest.parts.begin(), openRequest.parts.end(), [](const Part& part) { return part.runs > 0 || part.group != 0; });
     RouteAnswer answer;
     answer.code = code;
-    answer.retryAfter = retryAfterFailure(openRequest);
+    answer.retryAfter = isQuarantined ? Millis(-1) : retryAfterFailure(openRequest);
     if (!mayHaveRun) {
-        answer.status = 503;
+        answer.status = isQuarantined ? resultCodeInfo(code).httpStatus : 503;
     } else {
         answer.status = code == ResultCode::AttemptTimeout ? 504 : 502;
         if (openRequest.route->repeat == RepeatPolicy::AtMostOnce) {
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -9,6 +9,7 @@
 #include "../connection/load_budget.h"
 #include "../connection/replica_choice.h"
 #include "../connection/replica_subset.h"
+#include "../process/crash_ledger.h"
 #include "../process/replica_directory.h"
 #include "../process/zone_reach.h"
 #include "../version/route_table.h"
@@ -105,14 +106,6 @@
     virtual void onReplicaRateLimit(const Replica& replica, uint32_t sharers) = 0;
 };
 
-/// Request whose call was lost when a replica crashed.
-struct CrashReport {
-    ReplicaRun replica;
-    RequestFingerprint request;
-    TimePoint sentAt {};
-    TimePoint endedAt {};
-};
-
 /// How the end of a replica's process was noticed.
 enum class CrashEvidence : uint8_t {
     ConnectionRefused,
@@ -131,6 +124,10 @@
     virtual void onCallLost(const Replica& replica, const ForwardedRequest& request) = 0;
     /// A replica has crashed; `reports` tells which requests of this instance it was given.
     virtual void onReplicaCrashed(const Replica& replica, CrashEvidence evidence, const std::vector<CrashReport>& reports) = 0;
+    /// A replica has answered a request that was suspect or quarantined.
+    virtual void onRequestCleared(RequestFingerprint request) = 0;
+    /// A request is not sent to replicas from now on.
+    virtual void onRequestQuarantined(RequestFingerprint request) = 0;
 };
 
 struct DispatcherInit {
@@ -147,6 +144,8 @@
     ReplicaAnnouncementsI* announcements = nullptr;
     /// Null if crashes are not observed.
     CrashObserverI* crashes = nullptr;
+    /// Requests that crash replicas; null if they are not held back.
+    CrashLedger* crashLedger = nullptr;
     /// Tells which zones are currently unreachable; null if reachability is not monitored.
     const ZoneReach* reach = nullptr;
     /// Zone of this instance.
@@ -182,6 +181,8 @@
     uint64_t groupsSent = 0;
     uint64_t groupsLost = 0;
     uint64_t groupsGathered = 0;
+    /// Requests that were refused or ended because they crash replicas.
+    uint64_t quarantinedRequests = 0;
     /// Requests relayed to other instances, those of them that failed, and requests of other instances.
     uint64_t relaysSent = 0;
     uint64_t relaysLost = 0;
@@ -225,6 +226,8 @@
 
     /// Reports that nobody listens at the replica's address and that this instance has no connection to it.
     void replicaRefusedConnection(const ReplicaPtr& replica) { noteCrash(replica, CrashEvidence::ConnectionRefused); }
+    /// Ends the open requests that have been quarantined since the last call.
+    void applyQuarantines();
     /// Looks for signs that replicas with lost calls have crashed. Must be called periodically.
     void checkCrashes();
 
@@ -281,6 +284,17 @@
 
     void noteLostCall(const Call& call);
     void noteCrash(const ReplicaPtr& replica, CrashEvidence evidence);
+    void noteAnswered(OpenRequest* openRequest, RequestFingerprint fingerprint);
+    RequestStanding standingOf(const ForwardedRequest& request) const;
+    bool isSuspect(const OpenRequest& openRequest) const;
+    bool awaitsFirstAnswer(const OpenRequest& openRequest) const;
+    bool rejectQuarantined(uint64_t request, const ForwardedRequest& forwarded);
+    void rejectQuarantinedGroup(uint64_t request, const GroupRequest& group);
+    void endQuarantined(OpenRequest& openRequest);
+    static bool hasOpenCalls(const OpenRequest& openRequest);
+    void updateHeldBack(OpenRequest& openRequest);
+    void resumeHeldBack(OpenRequest& openRequest);
+    static void failHeldBack(OpenRequest& openRequest);
     void noteLeaving(const ReplicaPtr& replica, std::string_view source);
     void noteLeaving(const std::vector<ReplicaRun>& runs, std::string_view source);
     void noteBackOff(const ReplicaPtr& replica, Millis time);
@@ -295,7 +309,7 @@
     void addAnnouncements(const OpenRequest& openRequest, RouteAnswer& answer) const;
 
     std::unique_ptr<OpenRequest> makeRequest(uint64_t request, ForwardedRequest forwarded, const RouteSpec& route);
-    void reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter);
+    void reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter, std::string trail = {});
     RouteState& routeStateOf(const RouteSpec& route);
     LoadBudget& repeatBudgetOf(const std::string& service);
 
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -53,7 +53,9 @@
 
 void Dispatcher::launchAllParts(OpenRequest& openRequest)
 {
-    const std::vector<GatherGroup> groups = planGroups(openRequest);
+    // A replica has to answer a suspect search before the others get it.
+    openRequest.isHeldBack = openRequest.isMerged() && isSuspect(openRequest);
+    const std::vector<GatherGroup> groups = openRequest.isHeldBack ? std::vector<GatherGroup>() : planGroups(openRequest);
     std::vector<bool> isGathered(openRequest.parts.size());
     for (const GatherGroup& group : groups)
         std::fill_n(isGathered.begin() + static_cast<std::ptrdiff_t>(group.firstShard), group.shardCount, true);
@@ -76,8 +78,11 @@
     for (const GatherGroup& group : groups)
         launchGroup(openRequest, group);
     for (size_t i = 0; i < chosen.size(); ++i) {
-        if (chosen[i])
-            launchCall(openRequest, i, chosen[i], false);
+        if (!chosen[i])
+            continue;
+        launchCall(openRequest, i, chosen[i], false);
+        if (openRequest.isHeldBack)
+            return;
     }
 }
 
@@ -135,7 +140,7 @@
             reassignUnsentCall(openRequest, partIndex, id);
         openRequest.nextUpdateAt = std::min(openRequest.nextUpdateAt, std::max(connectWaitEnd, now + kDeniedRepeatPause));
     }
-    if (hasUnsent || part.state != PartState::Open || !openRequest.mayRepeat() || part.runs >= openRequest.route->maxAttempts)
+    if (hasUnsent || part.state != PartState::Open || awaitsFirstAnswer(openRequest) || !openRequest.mayRepeat() || part.runs >= openRequest.route->maxAttempts)
         return;
     if (now >= part.nextHedgeAt && !tryHedge(openRequest, partIndex))
         part.nextHedgeAt = std::max(part.nextHedgeAt, now) + kDeniedRepeatPause;
@@ -218,6 +223,8 @@
         noteBackOff(call.replica, reply.backOff);
 
     const auto owner = requests_.find(call.request);
+    if (!wasNotExecuted && isSuccess(reply.status) && !reply.signature.empty())
+        noteAnswered(owner == requests_.end() ? nullptr : owner->second.get(), call.forwarded->fingerprint);
     if (owner == requests_.end())
         return;
     OpenRequest& openRequest = *owner->second;
@@ -234,8 +241,6 @@
     openRequest.routeState->meanDuration += std::chrono::duration_cast<Micros>((duration - openRequest.routeState->meanDuration) * kMeanWeight);
     if (part.state != PartState::Open)
         return;
-    if (isSuccess(reply.status) && !reply.signature.empty())
-        crashDetector_.requestAnswered(call.forwarded->fingerprint);
     if (isSuccess(reply.status) && reply.signature.empty()) {
         retryOrFail(openRequest, call.part, ResultCode::ForeignReply, "unsigned");
         return;
@@ -319,6 +324,12 @@
         markMissing(openRequest, part, reason);
         return;
     }
+    if (part.sentCalls > 0 && awaitsFirstAnswer(openRequest)) {
+        part.reason = reason;
+        openRequest.isHeldBack = true;
+        updateHeldBack(openRequest);
+        return;
+    }
     ReplicaPtr replica = chooseReplicaFor(openRequest, part, ChoiceScope::First);
     if (!replica) {
         // All replicas have been tried. One that failed before may succeed over another connection.
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -70,6 +70,10 @@
 void Dispatcher::gather(uint64_t request, GroupRequest group)
 {
     ++stats_.groupsGathered;
+    if (standingOf(group.forwarded) == RequestStanding::Quarantined) {
+        rejectQuarantinedGroup(request, group);
+        return;
+    }
     if (!table_ || requests_.size() >= init_.maxRequests || isIsolated()) {
         reject(request, group.forwarded, table_ && !isIsolated() ? ResultCode::Overloaded : ResultCode::NotReady, Millis(-1));
         return;
@@ -113,6 +117,13 @@
     // An incomplete group was answered at its soft deadline, so the excess is the delay of its reply.
     if (!reply.missing.empty())
         openRequest.routeState->groupDelay.add(std::max<Micros>(Micros(0), std::chrono::duration_cast<Micros>(now - group.softDeadlineAt)));
+    const bool isQuarantined = std::any_of(reply.missing.begin(), reply.missing.end(), [](const MissingPart& part) { return part.reason == ResultCode::RequestQuarantined; });
+    if (isQuarantined) {
+        endQuarantined(openRequest);
+        return;
+    }
+    if (!reply.signatures.empty())
+        noteAnswered(&openRequest, openRequest.request->fingerprint);
     acceptGroupReply(openRequest, id, group, std::move(reply));
     finishIfDecided(openRequest);
     processEvents();
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -86,6 +86,12 @@
     std::vector<Part> parts;
     /// Ids of the groups that have not ended.
     std::vector<uint64_t> groups;
+    /// Some parts wait for a call until a replica has answered the request.
+    bool isHeldBack = false;
+    /// A replica has answered a call of the request.
+    bool hasAnswer = false;
+    /// Calls whose connection ended without a reply.
+    uint32_t lostCalls = 0;
     /// The request was relayed by another instance.
     bool isRelayed = false;
     /// Id of the open relay to another instance; 0 if there is none.
--- a/src/request/dispatcher_relay.cpp
+++ b/src/request/dispatcher_relay.cpp
@@ -42,6 +42,8 @@
         reject(request, relayed.forwarded, ResultCode::NotReady, Millis(-1));
         return;
     }
+    if (rejectQuarantined(request, relayed.forwarded))
+        return;
     if (route == nullptr) {
         reject(request, relayed.forwarded, ResultCode::UnknownPath, Millis(-1));
         return;
--- a/standins/registry_platform.py
+++ b/standins/registry_platform.py
@@ -181,6 +181,8 @@
             return
         self.crashes.append(time.monotonic())
         server, self.state = self.server, "down"
+        # Closing alone would leave the socket to the thread that waits for connections.
+        server.http.socket.shutdown(socket.SHUT_RDWR)
         server.http.socket.close()
         for connection in list(self.connections):
             try:
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -484,6 +484,9 @@
 def check_crashing_request(cluster, send_crashing, send_other):
     """A request that crashes its replicas is refused everywhere from the fourth second after the third crash on, at
     once and with a status after which callers do not repeat it, and the other requests of its route are served."""
+    everybody = f"count={len(cluster.gateways)}\n"
+    for gateway in cluster.gateways:
+        wait_for(lambda g=gateway: any(line.endswith(everybody) for line in g.lines("zone_instances")), "the instances do not know each other")
     for replica in cluster.replicas:
         replica.crashes_on = "crash"
     crashing, others = repeat_beside_others(cluster, send_crashing, send_other, 8)
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -107,6 +107,7 @@
     void onGroup(ExchangeId /*exchange*/, GroupRequest /*request*/) override { }
     void onRelay(ExchangeId /*exchange*/, RelayRequest /*request*/) override { }
     void onExchangeCancelled(ExchangeId /*exchange*/) override { }
+    void onCrashNotice(const CrashNotice& /*notice*/) override { }
     void onReachNotice(const ReachNotice& /*notice*/) override { }
 };
 
--- a/tests/zone_reach_test.cpp
+++ b/tests/zone_reach_test.cpp
@@ -189,6 +189,7 @@
     void onGroup(ExchangeId /*exchange*/, GroupRequest /*request*/) override { }
     void onRelay(ExchangeId /*exchange*/, RelayRequest /*request*/) override { }
     void onExchangeCancelled(ExchangeId /*exchange*/) override { }
+    void onCrashNotice(const CrashNotice& /*notice*/) override { }
     void onReachNotice(const ReachNotice& notice) override { notices.push_back(notice); }
 
     std::vector<ReachNotice> notices;
