Quarantines are provisional first, and in any order of the reports

Now all reports of a crash are recorded before any verdict, and a later report can overturn one. Two crashes, or three that others share, hold a request back for two seconds: it is refused as not run with the time until it is tried again (219, 503), and its open calls go on, whose answers clear it. Only a crash after that, or a fourth, makes the quarantine certain (218, 400, for an hour, then two).

--- a/include/limpettrestle/result_codes.h
+++ b/include/limpettrestle/result_codes.h
@@ -41,6 +41,7 @@
     StaleMessage = 216,
     SlotUnavailable = 217,
     RequestQuarantined = 218,
+    RequestSuspended = 219,
 
     PartialCoverage = 301,
     CoverageBelowMinimum = 302,
--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -33,9 +33,8 @@
         if (isNew && isPassedOn && forZone_.cleared.size() < kMaxNoticeEntries)
             forZone_.cleared.push_back(request);
     }
-    for (const CrashReport& report : notice.reports) {
-        const bool isNew = init_.ledger->record(report, now);
-        if (isNew && isPassedOn && forZone_.reports.size() < kMaxNoticeEntries)
+    for (const CrashReport& report : init_.ledger->record(notice.reports, now)) {
+        if (isPassedOn && forZone_.reports.size() < kMaxNoticeEntries)
             forZone_.reports.push_back(report);
     }
 }
--- a/src/gateway/gateway_replica_events.cpp
+++ b/src/gateway/gateway_replica_events.cpp
@@ -44,7 +44,7 @@
 
 void Gateway::onRequestQuarantined(RequestFingerprint request)
 {
-    log_.logger().warn("event=request_quarantined fingerprint={:016x} crashes={} quarantined={}", request.value, crashLedger_.crashCount(request), crashLedger_.quarantinedCount());
+    log_.logger().warn("event=request_quarantined fingerprint={:016x} certain={} crashes={} quarantined={}", request.value, crashLedger_.isCertain(request), crashLedger_.crashCount(request), crashLedger_.quarantinedCount());
     follower_->setQuarantineDigest(crashLedger_.digest());
 }
 
--- a/src/process/crash_ledger.cpp
+++ b/src/process/crash_ledger.cpp
@@ -1,5 +1,6 @@
 #include "crash_ledger.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <array>
 
@@ -8,24 +9,31 @@
 namespace {
 
     constexpr std::array<std::string_view, 3> kStandingNames = { "clear", "suspect", "quarantined" };
-    /// Separate crashes after which a request is quarantined.
-    constexpr size_t kCertainCrashes = 3;
-    /// The same when no other request was lost with the same replicas.
+    /// Separate crashes after which a request is quarantined provisionally when no other request was lost with the same
+    /// replicas, and when others were.
     constexpr size_t kSoleSuspectCrashes = 2;
+    constexpr size_t kLikelyCrashes = 3;
+    /// Separate crashes after which it is certain in any case.
+    constexpr size_t kCertainCrashes = 4;
     /// Limit on the crashes that are kept per request.
-    constexpr size_t kMaxCrashes = 8;
-    /// Limit on requests, and so on memory: about 200 bytes each.
+    constexpr size_t kMaxCrashes = 64;
+    /// Limit on requests, and so on memory: some hundred bytes each, 5 kB at most.
     constexpr size_t kMaxSuspects = 4096;
     constexpr size_t kMaxAnswers = 4096;
     /// Time for which evidence against a request that is not quarantined is kept.
     constexpr std::chrono::minutes kSuspectTtl { 30 };
     constexpr std::chrono::minutes kAnswerTtl { 30 };
-    /// Time of the first quarantine, from the last crash on. Each further one takes twice as long.
+    /// Time of a provisional quarantine, from the last crash on. Then the request is tried again: an answer clears it, and a
+    /// crash makes the quarantine certain.
+    constexpr std::chrono::seconds kProvisionalTerm { 2 };
+    /// Time of the first certain quarantine, likewise. Each further one takes twice as long.
     constexpr std::chrono::minutes kFirstTerm { 60 };
     constexpr uint32_t kMaxTermDoublings = 5;
 
-    std::chrono::minutes termLength(uint32_t term)
+    std::chrono::seconds termLength(uint32_t term)
     {
+        if (term == 0)
+            return kProvisionalTerm;
         return kFirstTerm * (1 << std::min(term - 1, kMaxTermDoublings));
     }
 
@@ -36,7 +44,23 @@
     return kStandingNames[static_cast<size_t>(value)];
 }
 
-bool CrashLedger::record(const CrashReport& report, TimePoint now)
+std::vector<CrashReport> CrashLedger::record(const std::vector<CrashReport>& reports, TimePoint now)
+{
+    std::vector<CrashReport> added;
+    absl::flat_hash_set<RequestFingerprint> affected;
+    for (const CrashReport& report : reports) {
+        if (!add(report, now))
+            continue;
+        added.push_back(report);
+        const std::vector<RequestFingerprint>& victims = victims_.at(report.replica);
+        affected.insert(victims.begin(), victims.end());
+    }
+    for (const RequestFingerprint request : affected)
+        evaluate(request);
+    return added;
+}
+
+bool CrashLedger::add(const CrashReport& report, TimePoint now)
 {
     const auto answer = answeredAt_.find(report.request);
     const bool isAnsweredSince = answer != answeredAt_.end() && answer->second >= report.sentAt;
@@ -46,22 +70,45 @@
         return false;
     makeRoomFor(report.request);
     Suspect& suspect = suspects_[report.request];
+    if (suspect.crashes.size() >= kMaxCrashes)
+        forgetOldestCrash(report.request, suspect);
     suspect.lastCrashAt = std::max(suspect.lastCrashAt, report.endedAt);
-    if (suspect.crashes.size() < kMaxCrashes) {
-        suspect.crashes.push_back({ report.replica, report.sentAt, report.endedAt });
-        victims_[report.replica].push_back(report.request);
-    }
-    if (suspect.isQuarantined) {
-        explainCrashes(report.request, Suspect(suspect));
-        return true;
-    }
-    const size_t crashes = separateCrashes(suspect);
-    const bool isCertain = crashes >= kCertainCrashes || suspect.terms > 0;
-    if (isCertain || (crashes >= kSoleSuspectCrashes && !hasRival(report.request, suspect)))
-        quarantine(report.request, suspect);
+    suspect.crashes.push_back({ report.replica, report.sentAt, report.endedAt });
+    victims_[report.replica].push_back(report.request);
     return true;
 }
 
+void CrashLedger::forgetOldestCrash(RequestFingerprint request, Suspect& suspect)
+{
+    const auto victims = victims_.find(suspect.crashes.front().replica);
+    if (victims != victims_.end())
+        std::erase(victims->second, request);
+    suspect.crashes.erase(suspect.crashes.begin());
+}
+
+void CrashLedger::evaluate(RequestFingerprint request)
+{
+    const auto found = suspects_.find(request);
+    if (found == suspects_.end() || found->second.verdict == Verdict::Certain)
+        return;
+    Suspect& suspect = found->second;
+    const size_t crashes = separateCrashes(suspect.crashes);
+    const bool isSole = !hasRival(request, suspect);
+    const bool hasRelapsed = suspect.terms > 0 || (suspect.isOnTrial && isSole);
+    if (crashes >= kCertainCrashes || hasRelapsed) {
+        setVerdict(request, suspect, Verdict::Certain);
+        explainCrashes(request, Suspect(suspect));
+        return;
+    }
+    const bool isLikely = crashes >= kLikelyCrashes || (crashes >= kSoleSuspectCrashes && isSole);
+    // A quarantine that was taken over from another instance has no crashes here.
+    const bool isRefuted = !suspect.crashes.empty() && !isLikely;
+    if (isLikely && suspect.verdict == Verdict::None)
+        setVerdict(request, suspect, Verdict::Provisional);
+    else if (isRefuted && suspect.verdict == Verdict::Provisional)
+        setVerdict(request, suspect, Verdict::None);
+}
+
 bool CrashLedger::recordAnswer(RequestFingerprint request, TimePoint now)
 {
     if (!suspects_.contains(request))
@@ -78,14 +125,15 @@
     const TimePoint lastCrashAt = now - entry.age;
     const auto answer = answeredAt_.find(entry.request);
     const bool isAnsweredSince = answer != answeredAt_.end() && answer->second >= lastCrashAt;
-    const bool isOver = entry.age >= termLength(std::max<uint32_t>(entry.term, 1));
-    if (!entry.request.isValid() || isAnsweredSince || isOver || standing(entry.request) == RequestStanding::Quarantined)
+    const bool isOver = entry.age >= termLength(entry.term);
+    const bool isKnown = standing(entry.request) == RequestStanding::Quarantined && (entry.term == 0 || isCertain(entry.request));
+    if (!entry.request.isValid() || isAnsweredSince || isOver || isKnown)
         return false;
     makeRoomFor(entry.request);
     Suspect& suspect = suspects_[entry.request];
     suspect.lastCrashAt = std::max(suspect.lastCrashAt, lastCrashAt);
-    suspect.terms = std::max<uint32_t>(entry.term, 1) - 1;
-    quarantine(entry.request, suspect);
+    suspect.terms = entry.term > 0 ? entry.term - 1 : suspect.terms;
+    setVerdict(entry.request, suspect, entry.term > 0 ? Verdict::Certain : Verdict::Provisional);
     return true;
 }
 
@@ -93,11 +141,13 @@
 {
     std::vector<RequestFingerprint> forgotten;
     for (auto& [request, suspect] : suspects_) {
-        if (suspect.isQuarantined && now - suspect.lastCrashAt >= termLength(suspect.terms))
-            release(request, suspect);
+        if (suspect.verdict != Verdict::None && now >= endOf(suspect)) {
+            setVerdict(request, suspect, Verdict::None);
+            suspect.isOnTrial = true;
+        }
         // A request that was quarantined before is quarantined again by its next crash, so it is kept for longer.
-        const std::chrono::minutes ttl = suspect.terms > 0 ? 2 * termLength(suspect.terms) : kSuspectTtl;
-        if (!suspect.isQuarantined && now - suspect.lastCrashAt >= ttl)
+        const std::chrono::seconds ttl = suspect.terms > 0 ? 2 * termLength(suspect.terms) : kSuspectTtl;
+        if (suspect.verdict == Verdict::None && now - suspect.lastCrashAt >= ttl)
             forgotten.push_back(request);
     }
     for (const RequestFingerprint request : forgotten)
@@ -110,7 +160,13 @@
     const auto found = suspects_.find(request);
     if (found == suspects_.end())
         return RequestStanding::Clear;
-    return found->second.isQuarantined ? RequestStanding::Quarantined : RequestStanding::Suspect;
+    return found->second.verdict != Verdict::None ? RequestStanding::Quarantined : RequestStanding::Suspect;
+}
+
+bool CrashLedger::isCertain(RequestFingerprint request) const
+{
+    const auto found = suspects_.find(request);
+    return found != suspects_.end() && found->second.verdict == Verdict::Certain;
 }
 
 size_t CrashLedger::crashCount(RequestFingerprint request) const
@@ -119,6 +175,19 @@
     return found == suspects_.end() ? 0 : found->second.crashes.size();
 }
 
+Millis CrashLedger::timeLeft(RequestFingerprint request, TimePoint now) const
+{
+    const auto found = suspects_.find(request);
+    if (found == suspects_.end() || found->second.verdict == Verdict::None)
+        return Millis::zero();
+    return std::max(Millis::zero(), std::chrono::ceil<Millis>(endOf(found->second) - now));
+}
+
+TimePoint CrashLedger::endOf(const Suspect& suspect)
+{
+    return suspect.lastCrashAt + termLength(suspect.verdict == Verdict::Certain ? suspect.terms : 0);
+}
+
 std::vector<RequestFingerprint> CrashLedger::takeNewlyQuarantined()
 {
     return std::exchange(newlyQuarantined_, {});
@@ -128,17 +197,16 @@
 {
     std::vector<QuarantineEntry> entries;
     for (const auto& [request, suspect] : suspects_) {
-        if (suspect.isQuarantined)
-            entries.push_back({ request, std::chrono::duration_cast<Micros>(now - suspect.lastCrashAt), suspect.terms });
+        if (suspect.verdict != Verdict::None)
+            entries.push_back({ request, std::chrono::duration_cast<Micros>(now - suspect.lastCrashAt), suspect.verdict == Verdict::Certain ? suspect.terms : 0 });
     }
     std::sort(entries.begin(), entries.end(), [](const QuarantineEntry& a, const QuarantineEntry& b) { return a.age < b.age; });
     entries.resize(std::min(entries.size(), limit));
     return entries;
 }
 
-size_t CrashLedger::separateCrashes(const Suspect& suspect)
+size_t CrashLedger::separateCrashes(std::vector<Crash> crashes)
 {
-    std::vector<Crash> crashes = suspect.crashes;
     std::sort(crashes.begin(), crashes.end(), [](const Crash& a, const Crash& b) { return a.endedAt < b.endedAt; });
     size_t count = 0;
     TimePoint lastEnd {};
@@ -153,15 +221,15 @@
 
 bool CrashLedger::hasRival(RequestFingerprint request, const Suspect& suspect) const
 {
-    absl::flat_hash_map<RequestFingerprint, size_t> sharedCrashes;
+    absl::flat_hash_map<RequestFingerprint, std::vector<Crash>> sharedCrashes;
     for (const Crash& crash : suspect.crashes) {
         const auto victims = victims_.find(crash.replica);
         if (victims == victims_.end())
             continue;
         for (const RequestFingerprint other : victims->second)
-            ++sharedCrashes[other];
+            sharedCrashes[other].push_back(crash);
     }
-    return std::any_of(sharedCrashes.begin(), sharedCrashes.end(), [request](const auto& entry) { return entry.first != request && entry.second >= kSoleSuspectCrashes; });
+    return std::any_of(sharedCrashes.begin(), sharedCrashes.end(), [request](const auto& entry) { return entry.first != request && separateCrashes(entry.second) >= kSoleSuspectCrashes; });
 }
 
 bool CrashLedger::isVictim(RequestFingerprint request, const ReplicaRun& replica) const
@@ -170,29 +238,26 @@
     return victims != victims_.end() && std::find(victims->second.begin(), victims->second.end(), request) != victims->second.end();
 }
 
-/// True when a quarantined request was on the replica, which accounts for its crash.
 bool CrashLedger::isExplained(const ReplicaRun& replica) const
 {
     const auto victims = victims_.find(replica);
     return victims != victims_.end()
-        && std::any_of(victims->second.begin(), victims->second.end(), [this](RequestFingerprint request) { return standing(request) == RequestStanding::Quarantined; });
-}
-
-void CrashLedger::quarantine(RequestFingerprint request, Suspect& suspect)
-{
-    suspect.isQuarantined = true;
-    ++suspect.terms;
-    ++quarantinedCount_;
-    digest_ ^= request.value;
-    newlyQuarantined_.push_back(request);
-    explainCrashes(request, Suspect(suspect));
+        && std::any_of(victims->second.begin(), victims->second.end(), [this](RequestFingerprint request) { return isCertain(request); });
 }
 
-void CrashLedger::release(RequestFingerprint request, Suspect& suspect)
+void CrashLedger::setVerdict(RequestFingerprint request, Suspect& suspect, Verdict verdict)
 {
-    suspect.isQuarantined = false;
-    --quarantinedCount_;
+    const bool wasQuarantined = suspect.verdict != Verdict::None;
+    const bool isQuarantined = verdict != Verdict::None;
+    suspect.verdict = verdict;
+    suspect.terms += verdict == Verdict::Certain ? 1 : 0;
+    suspect.isOnTrial = false;
+    if (isQuarantined)
+        newlyQuarantined_.push_back(request);
+    if (wasQuarantined == isQuarantined)
+        return;
     digest_ ^= request.value;
+    quarantinedCount_ += isQuarantined ? 1 : -1;
 }
 
 void CrashLedger::explainCrashes(RequestFingerprint request, const Suspect& suspect)
@@ -207,7 +272,7 @@
             if (other == request || found == suspects_.end())
                 continue;
             std::erase_if(found->second.crashes, [&crash](const Crash& entry) { return entry.replica == crash.replica; });
-            if (found->second.crashes.empty() && !found->second.isQuarantined)
+            if (found->second.crashes.empty() && found->second.verdict == Verdict::None)
                 suspects_.erase(found);
         }
     }
@@ -218,8 +283,7 @@
     const auto found = suspects_.find(request);
     if (found == suspects_.end())
         return;
-    if (found->second.isQuarantined)
-        release(request, found->second);
+    setVerdict(request, found->second, Verdict::None);
     for (const Crash& crash : found->second.crashes) {
         const auto victims = victims_.find(crash.replica);
         if (victims == victims_.end())
@@ -237,7 +301,7 @@
     if (suspects_.size() < kMaxSuspects || suspects_.contains(request))
         return;
     const auto oldest = std::min_element(suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
-        return std::pair(a.second.isQuarantined, a.second.lastCrashAt) < std::pair(b.second.isQuarantined, b.second.lastCrashAt);
+        return std::pair(a.second.verdict, a.second.lastCrashAt) < std::pair(b.second.verdict, b.second.lastCrashAt);
     });
     erase(oldest->first);
 }
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -23,7 +23,7 @@
     RequestFingerprint request;
     /// Time since the last crash.
     Micros age { 0 };
-    /// Number of quarantines so far, including this one.
+    /// Number of certain quarantines so far, including this one; 0 while the quarantine is provisional.
     uint32_t term = 1;
 };
 
@@ -38,8 +38,8 @@
 
 class CrashLedger {
 public:
-    /// Returns false when the report tells nothing new.
-    bool record(const CrashReport& report, TimePoint now);
+    /// Records reports and returns those that were new. The order in which reports arrive does not matter.
+    std::vector<CrashReport> record(const std::vector<CrashReport>& reports, TimePoint now);
     /// Records that a replica has answered the request, which clears it. Returns false when it was clear.
     bool recordAnswer(RequestFingerprint request, TimePoint now);
     /// Takes over a quarantine from another instance. Returns false when it is known or the request was answered since.
@@ -48,9 +48,13 @@
     void expire(TimePoint now);
 
     RequestStanding standing(RequestFingerprint request) const;
+    /// True when the request is quarantined for certain. Open calls of a provisionally quarantined one may still clear it.
+    bool isCertain(RequestFingerprint request) const;
+    /// Time until the request's quarantine ends; zero when there is none.
+    Millis timeLeft(RequestFingerprint request, TimePoint now) const;
     /// Number of different crashes with which the request was connected.
     size_t crashCount(RequestFingerprint request) const;
-    /// Returns the requests that were quarantined since the last call.
+    /// Returns the requests that were quarantined, provisionally or for certain, since the last call.
     std::vector<RequestFingerprint> takeNewlyQuarantined();
     /// Returns the quarantines, the latest crash first, at most `limit`.
     std::vector<QuarantineEntry> quarantines(size_t limit, TimePoint now) const;
@@ -59,6 +63,13 @@
     size_t quarantinedCount() const { return quarantinedCount_; }
 
 private:
+    enum class Verdict : uint8_t {
+        None,
+        /// Crashes in short succession speak against the request. They may be the work of another one that comes as often.
+        Provisional,
+        /// The request has crashed a replica again after a quarantine.
+        Certain,
+    };
     struct Crash {
         ReplicaRun replica;
         TimePoint sentAt {};
@@ -67,20 +78,29 @@
     struct Suspect {
         std::vector<Crash> crashes;
         TimePoint lastCrashAt {};
-        bool isQuarantined = false;
-        /// Number of quarantines so far.
+        Verdict verdict = Verdict::None;
+        /// A quarantine has ended, so that the request is sent to replicas again.
+        bool isOnTrial = false;
+        /// Number of certain quarantines so far.
         uint32_t terms = 0;
     };
 
-    /// Number of the request's crashes that did not overlap: each of their calls was sent after the crash before it.
-    static size_t separateCrashes(const Suspect& suspect);
-    /// True when another request was on at least two of the replicas that crashed with this one.
+    /// Adds a report to the evidence. Returns false when it tells nothing new.
+    bool add(const CrashReport& report, TimePoint now);
+    void forgetOldestCrash(RequestFingerprint request, Suspect& suspect);
+    /// Quarantines or releases a request as the evidence demands.
+    void evaluate(RequestFingerprint request);
+    /// Number of crashes that did not overlap: each of their calls was sent after the crash before it.
+    static size_t separateCrashes(std::vector<Crash> crashes);
+    /// True when another request was lost in at least two separate crashes of this one.
     bool hasRival(RequestFingerprint request, const Suspect& suspect) const;
     bool isVictim(RequestFingerprint request, const ReplicaRun& replica) const;
+    /// True when a request that is certain to crash replicas was on the replica.
     bool isExplained(const ReplicaRun& replica) const;
-    void quarantine(RequestFingerprint request, Suspect& suspect);
-    void release(RequestFingerprint request, Suspect& suspect);
-    /// Takes the crashes of a quarantined request off the other requests that were lost with it.
+    /// End of the quarantine.
+    static TimePoint endOf(const Suspect& suspect);
+    void setVerdict(RequestFingerprint request, Suspect& suspect, Verdict verdict);
+    /// Takes the crashes of a certain request off the other requests that were lost with it.
     void explainCrashes(RequestFingerprint request, const Suspect& suspect);
     void erase(RequestFingerprint request);
     void makeRoomFor(RequestFingerprint request);
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -414,7 +414,7 @@
 {
     noteBlockedFailure(openRequest);
     const bool isQuarantined = code == ResultCode::RequestQuarantined;
-    if (!isQuarantined && openRequest.relayTargets.empty() && mayRelay(openRequest) && tryRelay(openRequest))
+    if (!isQuarantineCode(code) && openRequest.relayTargets.empty() && mayRelay(openRequest) && tryRelay(openRequest))
         return;
     const bool mayHaveRun = openRequest.relay != 0 || openRequest.mayHaveRunElsewhere
         || std::any_of(openRequest.parts.begin(), openRequest.parts.end(), [](const Part& part) { return part.runs > 0 || part.group != 0; });
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -290,7 +290,8 @@
     bool awaitsFirstAnswer(const OpenRequest& openRequest) const;
     bool rejectQuarantined(uint64_t request, const ForwardedRequest& forwarded);
     void rejectQuarantinedGroup(uint64_t request, const GroupRequest& group);
-    void endQuarantined(OpenRequest& openRequest);
+    ResultCode quarantineCode(const ForwardedRequest& request) const;
+    void endQuarantined(OpenRequest& openRequest, ResultCode code);
     static bool hasOpenCalls(const OpenRequest& openRequest);
     void updateHeldBack(OpenRequest& openRequest);
     void resumeHeldBack(OpenRequest& openRequest);
--- a/src/request/dispatcher_crashes.cpp
+++ b/src/request/dispatcher_crashes.cpp
@@ -42,11 +42,10 @@
     const ReplicaRun run { replica->entry.id, replica->entry.startedAt };
     std::vector<CrashReport> reports;
     reports.reserve(calls.size());
-    for (const LostCall& call : calls) {
+    for (const LostCall& call : calls)
         reports.push_back({ run, call.request, call.sentAt, call.lostAt });
-        if (init_.crashLedger != nullptr)
-            init_.crashLedger->record(reports.back(), clock_.now());
-    }
+    if (init_.crashLedger != nullptr)
+        init_.crashLedger->record(reports, clock_.now());
     init_.crashes->onReplicaCrashed(*replica, evidence, reports);
     applyQuarantines();
 }
@@ -69,6 +68,11 @@
     return init_.crashLedger != nullptr ? init_.crashLedger->standing(request.fingerprint) : RequestStanding::Clear;
 }
 
+ResultCode Dispatcher::quarantineCode(const ForwardedRequest& request) const
+{
+    return init_.crashLedger->isCertain(request.fingerprint) ? ResultCode::RequestQuarantined : ResultCode::RequestSuspended;
+}
+
 bool Dispatcher::isSuspect(const OpenRequest& openRequest) const
 {
     return standingOf(*openRequest.request) != RequestStanding::Clear;
@@ -87,7 +91,9 @@
     if (standingOf(forwarded) != RequestStanding::Quarantined)
         return false;
     ++stats_.quarantinedRequests;
-    reject(request, forwarded, ResultCode::RequestQuarantined, Millis(-1), fmt::format("0ms:quarantined:{:016x}", forwarded.fingerprint.value));
+    const bool isCertain = init_.crashLedger->isCertain(forwarded.fingerprint);
+    const Millis retryAfter = isCertain ? Millis(-1) : init_.crashLedger->timeLeft(forwarded.fingerprint, clock_.now());
+    reject(request, forwarded, quarantineCode(forwarded), retryAfter, fmt::format("0ms:quarantined:{:016x}", forwarded.fingerprint.value));
     return true;
 }
 
@@ -95,10 +101,10 @@
 void Dispatcher::rejectQuarantinedGroup(uint64_t request, const GroupRequest& group)
 {
     RouteAnswer answer;
-    answer.code = ResultCode::RequestQuarantined;
+    answer.code = quarantineCode(group.forwarded);
     // Builds that do not know the reason call the replicas themselves unless all attempts are used up.
     for (const std::string& shard : group.shards)
-        answer.missing.push_back({ shard, ResultCode::RequestQuarantined, group.maxAttempts });
+        answer.missing.push_back({ shard, answer.code, group.maxAttempts });
     RequestReport report;
     report.requestId = group.forwarded.requestId;
     report.code = answer.code;
@@ -106,6 +112,8 @@
     init_.answers->answer(request, std::move(answer), report);
 }
 
+/// Reports new quarantines, and ends the open requests of those that are certain. The others may still be answered, which
+/// clears them.
 void Dispatcher::applyQuarantines()
 {
     if (init_.crashLedger == nullptr)
@@ -113,6 +121,8 @@
     for (const RequestFingerprint quarantined : init_.crashLedger->takeNewlyQuarantined()) {
         if (init_.crashes != nullptr)
             init_.crashes->onRequestQuarantined(quarantined);
+        if (!init_.crashLedger->isCertain(quarantined))
+            continue;
         std::vector<uint64_t> affected;
         for (const auto& [id, openRequest] : requests_) {
             if (openRequest->request->fingerprint == quarantined)
@@ -121,18 +131,18 @@
         for (const uint64_t id : affected) {
             const auto found = requests_.find(id);
             if (found != requests_.end())
-                endQuarantined(*found->second);
+                endQuarantined(*found->second, ResultCode::RequestQuarantined);
         }
     }
 }
 
 /// Ends a request, and its calls before they crash more replicas.
-void Dispatcher::endQuarantined(OpenRequest& openRequest)
+void Dispatcher::endQuarantined(OpenRequest& openRequest, ResultCode code)
 {
     ++stats_.quarantinedRequests;
     addToTrail(openRequest, "quarantined", fmt::format("{:016x}", openRequest.request->fingerprint.value), nullptr);
     releaseCalls(openRequest, true);
-    answerFailure(openRequest, ResultCode::RequestQuarantined);
+    answerFailure(openRequest, code);
 }
 
 bool Dispatcher::hasOpenCalls(const OpenRequest& openRequest)
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -117,9 +117,9 @@
     // An incomplete group was answered at its soft deadline, so the excess is the delay of its reply.
     if (!reply.missing.empty())
         openRequest.routeState->groupDelay.add(std::max<Micros>(Micros(0), std::chrono::duration_cast<Micros>(now - group.softDeadlineAt)));
-    const bool isQuarantined = std::any_of(reply.missing.begin(), reply.missing.end(), [](const MissingPart& part) { return part.reason == ResultCode::RequestQuarantined; });
-    if (isQuarantined) {
-        endQuarantined(openRequest);
+    const auto refused = std::find_if(reply.missing.begin(), reply.missing.end(), [](const MissingPart& part) { return isQuarantineCode(part.reason); });
+    if (refused != reply.missing.end()) {
+        endQuarantined(openRequest, refused->reason);
         return;
     }
     if (!reply.signatures.empty())
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -15,6 +15,12 @@
 /// No call is sent when less time than this remains.
 constexpr Millis kMinTimeLeft { 5 };
 
+/// True when an instance sent nothing because the request crashes replicas.
+inline bool isQuarantineCode(ResultCode code)
+{
+    return code == ResultCode::RequestQuarantined || code == ResultCode::RequestSuspended;
+}
+
 /// Statistics of one route. They are kept when the configuration changes.
 struct Dispatcher::RouteState {
     RouteState(Micros initialMean, int window)
--- a/tests/support/routing_bed.h
+++ b/tests/support/routing_bed.h
@@ -34,6 +34,7 @@
     uint64_t id = 0;
     std::string replica;
     std::string service;
+    std::string target;
     Millis timeLeft { 0 };
     bool needsLiveConnection = false;
     bool isCancelled = false;
@@ -43,9 +44,9 @@
 /// Transport that sends every call at once and leaves the replies to the test.
 class TestTransport final : public ReplicaTransportI {
 public:
-    void startCall(uint64_t call, const ReplicaPtr& replica, const RequestPtr& /*request*/, Millis timeLeft, bool needsLiveConnection) override
+    void startCall(uint64_t call, const ReplicaPtr& replica, const RequestPtr& request, Millis timeLeft, bool needsLiveConnection) override
     {
-        calls.push_back({ call, replica->entry.id, replica->entry.service, timeLeft, needsLiveConnection });
+        calls.push_back({ call, replica->entry.id, replica->entry.service, request->target, timeLeft, needsLiveConnection });
         if (!unconnected.contains(replica->entry.id))
             dispatcher->callSent(call);
     }
@@ -73,6 +74,25 @@
     RequestReport report;
 };
 
+/// Records what the dispatcher learns about crashes.
+class CrashRecorder final : public CrashObserverI {
+public:
+    void onCallLost(const Replica& /*replica*/, const ForwardedRequest& /*request*/) override { ++lostCalls; }
+    void onReplicaCrashed(const Replica& /*replica*/, CrashEvidence evidence, const std::vector<CrashReport>& found) override
+    {
+        lastEvidence = evidence;
+        reports.insert(reports.end(), found.begin(), found.end());
+    }
+    void onRequestCleared(RequestFingerprint request) override { cleared.push_back(request); }
+    void onRequestQuarantined(RequestFingerprint request) override { quarantined.push_back(request); }
+
+    size_t lostCalls = 0;
+    CrashEvidence lastEvidence = CrashEvidence::ConnectionRefused;
+    std::vector<CrashReport> reports;
+    std::vector<RequestFingerprint> cleared;
+    std::vector<RequestFingerprint> quarantined;
+};
+
 class RoutingTestBed final : public AnswerSinkI {
 public:
     /// `repeatBurst`: capacity of the repeat budget of each service; below 1 there are no repeats.
@@ -90,6 +110,8 @@
         init.relays = relays;
         init.instance = "n0";
         init.reach = &reach;
+        init.crashes = &crashes;
+        init.crashLedger = &crashLedger;
         init.repeatSlack = repeatBurst * kSlackPerBurst;
         init.repeatRatio = repeatBurst < 1 ? 0 : init.repeatRatio;
         dispatcher = std::make_unique<Dispatcher>(init);
@@ -161,9 +183,13 @@
         forwarded.target = target;
         forwarded.host = "test.example";
         forwarded.callerTimeout = callerTimeout;
+        forwarded.fingerprint = fingerprintOf(target);
         dispatcher->start(request, std::move(forwarded));
     }
 
+    /// Fingerprint of the requests for a target.
+    static RequestFingerprint fingerprintOf(const std::string& target) { return { std::hash<std::string> {}(target) | 1 }; }
+
     static ReplicaReply success(const std::string& signature, std::string body = std::string(16, 'x'))
     {
         ReplicaReply reply;
@@ -216,6 +242,8 @@
     /// Time by which the clock advances while an answer is sent.
     Micros answerDuration { 0 };
     ZoneReach reach;
+    CrashRecorder crashes;
+    CrashLedger crashLedger;
     TestClock clock;
     TestTransport transport;
     ReplicaDirectory directory;
