Crashes that are reported with different delays count once

Cause: times travel as ages, which leave out the transport of the notice, so that the call of a late report seemed to begin after the crash of an early one. Ruled out: a second wave (all reports have the same millisecond). Now a call has to be sent 50 ms after the crash to count as separate. Reports of other instances are logged by notice: there were 1,290 lines for 15 reports.

--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -24,7 +24,7 @@
         forAll_.cleared.push_back(request);
 }
 
-void CrashExchange::receive(const CrashNotice& notice)
+std::vector<CrashReport> CrashExchange::receive(const CrashNotice& notice)
 {
     const TimePoint now = init_.clock->now();
     const bool isPassedOn = passesOn(notice.zone);
@@ -33,10 +33,12 @@
         if (isNew && isPassedOn && forZone_.cleared.size() < kMaxNoticeEntries)
             forZone_.cleared.push_back(request);
     }
-    for (const CrashReport& report : init_.ledger->record(notice.reports, now)) {
+    std::vector<CrashReport> added = init_.ledger->record(notice.reports, now);
+    for (const CrashReport& report : added) {
         if (isPassedOn && forZone_.reports.size() < kMaxNoticeEntries)
             forZone_.reports.push_back(report);
     }
+    return added;
 }
 
 void CrashExchange::flush()
--- a/src/gateway/crash_exchange.h
+++ b/src/gateway/crash_exchange.h
@@ -28,8 +28,8 @@
     void report(const std::vector<CrashReport>& reports);
     /// Queues the news that a replica has answered a request to this instance.
     void reportCleared(RequestFingerprint request);
-    /// Records the reports of another instance.
-    void receive(const CrashNotice& notice);
+    /// Records the reports of another instance and returns those that were new.
+    std::vector<CrashReport> receive(const CrashNotice& notice);
     /// Sends what is queued. Called before the event loop waits, so that the reports of one moment share a notice.
     void flush();
 
--- a/src/gateway/gateway_replica_events.cpp
+++ b/src/gateway/gateway_replica_events.cpp
@@ -2,10 +2,18 @@
 
 #include "gateway.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace limpettrestle {
 
+namespace {
+
+    /// Limit on the reports of a notice that are logged.
+    constexpr size_t kMaxLoggedReports = 8;
+
+} // namespace
+
 void Gateway::onReplicaLeaving(const Replica& replica, std::string_view source)
 {
     log_.logger().info("event=replica id={} service={} state=leaving born={} source={}", replica.entry.id, replica.entry.service, replica.entry.startedAt, source);
@@ -50,9 +58,13 @@
 
 void Gateway::onCrashNotice(const CrashNotice& notice)
 {
-    for (const CrashReport& report : notice.reports)
-        log_.logger().info("event=crash_reported id={} born={} fingerprint={:016x} sender={}", report.replica.id, report.replica.startedAt, report.request.value, notice.sender);
-    crashExchange_->receive(notice);
+    // One line a notice, since a wave of crashes brings many.
+    const std::vector<CrashReport> added = crashExchange_->receive(notice);
+    std::vector<std::string> logged;
+    for (size_t i = 0; i < std::min(added.size(), kMaxLoggedReports); ++i)
+        logged.push_back(fmt::format("{:016x}@{}", added[i].request.value, added[i].replica.id));
+    if (!added.empty())
+        log_.logger().info("event=crash_reported sender={} reports={} requests={}", notice.sender, added.size(), fmt::join(logged, ","));
     dispatcher_->applyQuarantines();
 }
 
--- a/src/process/crash_ledger.cpp
+++ b/src/process/crash_ledger.cpp
@@ -15,6 +15,8 @@
     constexpr size_t kLikelyCrashes = 3;
     /// Separate crashes after which it is certain in any case.
     constexpr size_t kCertainCrashes = 4;
+    /// Uncertainty of times that other instances report as ages, which do not include the time that a notice takes.
+    constexpr Millis kTransportTolerance { 50 };
     /// Limit on the crashes that are kept per request.
     constexpr size_t kMaxCrashes = 64;
     /// Limit on requests, and so on memory: some hundred bytes each, 5 kB at most.
@@ -211,7 +213,7 @@
     size_t count = 0;
     TimePoint lastEnd {};
     for (const Crash& crash : crashes) {
-        if (count > 0 && crash.sentAt <= lastEnd)
+        if (count > 0 && crash.sentAt <= lastEnd + kTransportTolerance)
             continue;
         ++count;
         lastEnd = crash.endedAt;
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -90,7 +90,7 @@
     void forgetOldestCrash(RequestFingerprint request, Suspect& suspect);
     /// Quarantines or releases a request as the evidence demands.
     void evaluate(RequestFingerprint request);
-    /// Number of crashes that did not overlap: each of their calls was sent after the crash before it.
+    /// Number of crashes that did not overlap: each of their calls was sent clearly after the crash before it.
     static size_t separateCrashes(std::vector<Crash> crashes);
     /// True when another request was lost in at least two separate crashes of this one.
     bool hasRival(RequestFingerprint request, const Suspect& suspect) const;
--- a/tests/crash_ledger_test.cpp
+++ b/tests/crash_ledger_test.cpp
@@ -49,6 +49,20 @@
     CHECK(test.ledger.standing(kGuilty) == RequestStanding::Suspect);
 }
 
+// Guards against a search being held back after one wave of crashes: the instances that gather its parts report it with
+// different delays, so that the call of a late report seems to begin after the crash of an early one.
+TEST_CASE("crashes of one moment count once although their reports take different times")
+{
+    LedgerBed test;
+    const TimePoint crashAt = test.now;
+    constexpr Millis kSearchTime { 5 };
+    for (const Millis delay : { Millis(0), Millis(20), Millis(40) }) {
+        const TimePoint reportedAt = crashAt + delay;
+        test.ledger.record({ { { "replica" + std::to_string(delay.count()), 1 }, kGuilty, reportedAt - kSearchTime, reportedAt } }, reportedAt);
+    }
+    CHECK(test.ledger.standing(kGuilty) == RequestStanding::Suspect);
+}
+
 TEST_CASE("the same crash that several instances report counts once")
 {
     LedgerBed test;
