--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -111,7 +111,7 @@
     CHECK(outcome.wronglyRefused == 0);
 }
 
-TEST_CASE("an instance that hears from nobody sends a crashing request to three replicas at most")
+TEST_CASE("instances that hear from nobody each stop sending a crashing request after the allowed crashes and retries")
 {
     CrashFleet fleet({ .instances = 2, .noticeDelay = Millis(-1) });
     const LoadOutcome outcome = runBesideOthers(fleet, "/one/", Millis(8000));
