--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -61,6 +61,8 @@
     uint32_t topRecords = 0;
     /// Minimum fraction of the shards that a merged answer must contain, 0 to 1.
     double minCoverage = 1.0;
+    /// Regions that may process requests of the route; empty when all may.
+    std::vector<std::string> homeRegions;
 };
 
 /// Properties common to the replicas of a service.
@@ -68,6 +70,10 @@
     std::string name;
     /// Maximum number of connections to one replica, summed over all instances.
     uint32_t maxConnections = 0;
+    /// Time for which a replica is cold after its start.
+    Millis warmup { 0 };
+    /// Requests per second that a cold replica accepts from all instances together; 0 when there is no limit.
+    double coldRate = 0;
 };
 
 /// Limits on the connections and requests of callers.
@@ -164,6 +170,8 @@
     /// Numbers of requests that the replica executes and has queued; negative if not reported.
     int running = -1;
     int waiting = -1;
+    /// Time for which the replica is still cold, as it reports; negative if not reported.
+    Millis warmupLeft { -1 };
     std::string body;
 };
 
@@ -236,6 +244,8 @@
     Millis timeLeft { 0 };
     uint32_t maxAttempts = 1;
     uint32_t topRecords = 0;
+    /// See `RouteSpec::homeRegions`.
+    std::vector<std::string> homeRegions;
 };
 
 /// Reply of an aggregator to a `GroupRequest`.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -370,7 +370,7 @@
 
 InstanceInfo Gateway::instanceInfo() const
 {
-    return { settings_.name, settings_.zone, settings_.peer.host, settings_.peer.port };
+    return { settings_.name, settings_.zone, settings_.peer.host, settings_.peer.port, kOwnFeatures };
 }
 
 void Gateway::onGroup(ExchangeId exchange, GroupRequest request)
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -20,12 +20,12 @@
         bool read(const json& root)
         {
             ObjectCheck check(root, "");
-            check.allow({ "name", "zone", "caller", "readiness", "peer", "metrics", "registry", "seeds", "repeats", "reaction", "shutdown", "seed", "processor_share" });
+            check.allow({ "name", "zone", "caller", "readiness", "peer", "metrics", "registry", "seeds", "repeats", "reaction", "shutdown", "seed", "processor_share", "zones", "cold" });
             check.require("name").text("name", settings_.name);
             check.require("zone").text("zone", settings_.zone);
             check.integer("seed", settings_.seed, 0, UINT64_MAX);
             check.number("processor_share", settings_.processorShare, 0.001, 1000);
-            return accept(check) && readEndpoint(root, "", "caller", settings_.caller) && readEndpoint(root, "", "readiness", settings_.readiness)
+            return accept(check) && readZones(root) && readCold(root) && readEndpoint(root, "", "caller", settings_.caller) && readEndpoint(root, "", "readiness", settings_.readiness)
                 && readEndpoint(root, "", "peer", settings_.peer) && readEndpoint(root, "", "metrics", settings_.metrics) && readRegistry(root)
                 && readSeeds(root) && readReaction(root) && readRepeats(root) && readShutdown(root);
         }
@@ -86,9 +86,37 @@
             if (!root.contains("reaction"))
                 return true;
             ObjectCheck check(root["reaction"], "/reaction");
-            check.allow({ "drain_ms", "config_ms" });
+            check.allow({ "drain_ms", "config_ms", "evacuation_ms" });
             check.millis("drain_ms", settings_.drainReaction, 100, 600000);
             check.millis("config_ms", settings_.configReaction, 100, 600000);
+            if (root["reaction"].contains("evacuation_ms"))
+                check.millis("evacuation_ms", settings_.evacuationReaction.emplace(), 100, 600000);
+            return accept(check);
+        }
+
+        bool readZones(const json& root)
+        {
+            if (!root.contains("zones"))
+                return true;
+            const json& zones = root["zones"];
+            if (!zones.is_object())
+                return fail(ResultCode::SettingsBadValue, "/zones", "an object with the region of each zone");
+            for (const auto& [zone, region] : zones.items()) {
+                if (!region.is_string())
+                    return fail(ResultCode::SettingsBadValue, "/zones/" + zone, "the name of a region");
+                settings_.regions[zone] = region.get<std::string>();
+            }
+            return true;
+        }
+
+        bool readCold(const json& root)
+        {
+            if (!root.contains("cold"))
+                return true;
+            ObjectCheck check(root["cold"], "/cold");
+            check.allow({ "excess", "slack" });
+            check.number("excess", settings_.coldExcess, 0, 100);
+            check.number("slack", settings_.coldSlack, 0, 1e6);
             return accept(check);
         }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,11 +4,16 @@
 
 #include "../daemon/settings.h"
 
+#include <map>
+#include <optional>
+
 namespace limpettrestle {
 
 struct GatewaySettings {
     std::string name;
     std::string zone;
+    /// Region of each availability zone by the zone's name; empty if there is only one region.
+    std::map<std::string, std::string> regions;
     /// Addresses on which the gateway listens for callers, readiness checks, other instances and operators.
     Endpoint caller;
     Endpoint readiness;
@@ -19,6 +24,12 @@
     /// Time within which a draining replica must stop getting work, and a new configuration must become active.
     Millis drainReaction { 3000 };
     Millis configReaction { 3000 };
+    /// Time within which an evacuated zone must get no more calls; unset if zones are not evacuated.
+    std::optional<Millis> evacuationReaction;
+    /// Limit on the calls that all instances together send to a cold replica within a second: its cold rate times
+    /// `coldExcess`, plus `coldSlack`.
+    double coldExcess = 1;
+    double coldSlack = 1;
     /// Peer addresses of the readers: the instances that read the registry and serve its contents to the others.
     std::vector<Endpoint> seeds;
     /// Budget of repeated calls (retries and hedges) for all instances together: this ratio of first calls, plus a
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -57,7 +57,7 @@
     }
     const std::optional<ChangesRequest> changes = decodeTarget(request.target);
     if (!changes) {
-        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST&quarantine=DIGEST\n");
+        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&features=BITS&instances=DIGEST&quarantine=DIGEST\n");
         return;
     }
     const TimePoint now = clock_.now();
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -17,6 +17,10 @@
     constexpr int64_t kMaxHoldMs = 10000;
     /// Limit on zones in a notice.
     constexpr size_t kMaxNoticeZones = 64;
+    /// Index of the features in an entry of the list of instances; earlier builds do not send them.
+    constexpr size_t kInstanceFeaturesField = 4;
+    /// Index of the warm-up time of a service, which its cold rate follows; earlier builds send neither.
+    constexpr size_t kServiceWarmupField = 2;
 
     json encodeEntry(const ReplicaEntry& entry)
     {
@@ -43,15 +47,18 @@
     {
         json list = json::array();
         for (const InstanceInfo& instance : instances)
-            list.push_back(json::array({ instance.name, instance.zone, instance.host, instance.port }));
+            list.push_back(json::array({ instance.name, instance.zone, instance.host, instance.port, instance.features }));
         return list;
     }
 
     std::vector<InstanceInfo> decodeInstances(const json& list)
     {
         std::vector<InstanceInfo> instances;
-        for (const json& entry : list)
-            instances.push_back({ entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), entry.at(2).get<std::string>(), entry.at(3).get<int>() });
+        for (const json& entry : list) {
+            InstanceInfo& instance = instances.emplace_back(InstanceInfo { entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), entry.at(2).get<std::string>(), entry.at(3).get<int>() });
+            if (entry.size() > kInstanceFeaturesField)
+                instance.features = entry.at(kInstanceFeaturesField).get<uint32_t>();
+        }
         return instances;
     }
 
@@ -72,7 +79,7 @@
             shares.push_back(json::array({ share.service, share.weight }));
         return { { "name", route.name }, { "host", route.host }, { "prefix", route.prefix }, { "once", route.repeat == RepeatPolicy::AtMostOnce },
             { "timeout", route.timeout.count() }, { "target", route.latencyTarget.count() }, { "priority", route.priority },
-            { "attempts", route.maxAttempts }, { "shares", shares }, { "shards", route.shards }, { "top", route.topRecords }, { "coverage", route.minCoverage } };
+            { "attempts", route.maxAttempts }, { "shares", shares }, { "shards", route.shards }, { "top", route.topRecords }, { "coverage", route.minCoverage }, { "homes", route.homeRegions } };
     }
 
     RouteSpec decodeRoute(const json& value)
@@ -91,6 +98,8 @@
         route.shards = value.at("shards").get<std::vector<std::string>>();
         route.topRecords = value.at("top").get<uint32_t>();
         route.minCoverage = value.at("coverage").get<double>();
+        // Earlier builds do not send this field.
+        route.homeRegions = value.value("homes", std::vector<std::string>());
         return route;
     }
 
@@ -101,12 +110,22 @@
             routes.push_back(encodeRoute(route));
         json services = json::array();
         for (const ServiceSpec& service : document.services)
-            services.push_back(json::array({ service.name, service.maxConnections }));
+            services.push_back(json::array({ service.name, service.maxConnections, service.warmup.count(), service.coldRate }));
         const IngressLimits& limits = document.limits;
         return { { "version", document.version }, { "routes", routes }, { "services", services },
             { "limits", json::array({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout.count(), limits.idleTimeout.count() }) } };
     }
 
+    ServiceSpec decodeService(const json& value)
+    {
+        ServiceSpec service { value.at(0).get<std::string>(), value.at(1).get<uint32_t>() };
+        if (value.size() > kServiceWarmupField) {
+            service.warmup = Millis(value.at(kServiceWarmupField).get<int64_t>());
+            service.coldRate = value.at(kServiceWarmupField + 1).get<double>();
+        }
+        return service;
+    }
+
     RoutingDocument decodeConfig(const json& value)
     {
         RoutingDocument document;
@@ -114,7 +133,7 @@
         for (const json& route : value.at("routes"))
             document.routes.push_back(decodeRoute(route));
         for (const json& service : value.at("services"))
-            document.services.push_back({ service.at(0).get<std::string>(), service.at(1).get<uint32_t>() });
+            document.services.push_back(decodeService(service));
         const json& limits = value.at("limits");
         document.limits = { limits.at(0).get<uint32_t>(), limits.at(1).get<uint32_t>(), Millis(limits.at(2).get<int64_t>()), Millis(limits.at(3).get<int64_t>()) };
         return document;
@@ -165,6 +184,8 @@
     const InstanceInfo& follower = request.follower;
     if (!follower.name.empty())
         fmt::format_to(std::back_inserter(target), "&name={}&zone={}&address={}:{}", follower.name, follower.zone, follower.host, follower.port);
+    if (follower.features != 0)
+        fmt::format_to(std::back_inserter(target), "&features={}", follower.features);
     return target;
 }
 
@@ -197,6 +218,8 @@
             request.follower.zone = value;
         } else if (name == "address") {
             isValid &= parseAddress(value, request.follower);
+        } else if (name == "features") {
+            isValid &= parseNumber(value, request.follower.features);
         } else if (name == "instances") {
             isValid &= parseNumber(value, request.instancesDigest);
         } else if (name == "quarantine") {
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Messages between instances. A follower polls a reader for changes by JSON over HTTP on the peer address:
-/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&instances=DIGEST&quarantine=DIGEST`.
+/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&features=BITS&instances=DIGEST&quarantine=DIGEST`.
 /// Receivers ignore fields that they do not know, and builds differ while instances are replaced, so new fields are optional.
 
 #include "../process/change_log.h"
--- a/src/process/instance_directory.cpp
+++ b/src/process/instance_directory.cpp
@@ -98,7 +98,7 @@
 {
     std::string text;
     for (const InstanceInfo& instance : instances)
-        fmt::format_to(std::back_inserter(text), "{} {} {}:{}\n", instance.name, instance.zone, instance.host, instance.port);
+        fmt::format_to(std::back_inserter(text), "{} {} {}:{} {}\n", instance.name, instance.zone, instance.host, instance.port, instance.features);
     return XXH64(text.data(), text.size(), 0) | 1;
 }
 
--- a/src/process/instance_directory.h
+++ b/src/process/instance_directory.h
@@ -8,12 +8,27 @@
 
 namespace limpettrestle {
 
+/// What the build of an instance understands, as bits. Instances of different builds run side by side during an upgrade.
+enum class InstanceFeature : uint32_t {
+    /// Applies shared facts; see `SharedFacts`.
+    SharedFacts = 1U << 0,
+    /// Keeps requests within the home regions of their route.
+    HomeRegions = 1U << 1,
+};
+
+/// Features of this build.
+constexpr uint32_t kOwnFeatures = static_cast<uint32_t>(InstanceFeature::SharedFacts) | static_cast<uint32_t>(InstanceFeature::HomeRegions);
+
 /// Identity of an instance and the address at which it serves other instances.
 struct InstanceInfo {
     std::string name;
     std::string zone;
     std::string host;
     int port = 0;
+    /// Bits of `InstanceFeature`; 0 for builds that do not report them.
+    uint32_t features = 0;
+
+    bool supports(InstanceFeature feature) const { return (features & static_cast<uint32_t>(feature)) != 0; }
 
     bool operator==(const InstanceInfo&) const = default;
 };
