Calls that replicas refused count against the repeat budget of the whole fleet

The sender then called its replicas as if for the first time, without its budget. A request of which a replica has refused a part is not relayed either. Ruled out: bursts of restarted instances and lost calls (both within the budget before).

--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -192,6 +192,8 @@
     ResultCode reason = ResultCode::Ok;
     /// Number of replicas that may have executed the request for this part.
     uint32_t runs = 0;
+    /// Number of calls that were sent for this part, including those that replicas refused.
+    uint32_t sentCalls = 0;
 };
 
 /// One run of a replica; it ends when the replica restarts, even under the same id.
--- a/src/gateway/message_pack.cpp
+++ b/src/gateway/message_pack.cpp
@@ -2,6 +2,19 @@
 
 namespace limpettrestle {
 
+namespace {
+
+    /// Index of the sent calls in a missing part; earlier builds do not send them.
+    constexpr size_t kSentCallsField = 3;
+
+    /// Number of sent calls of a part whose entry does not give it.
+    uint32_t impliedSentCalls(const MissingPart& part)
+    {
+        return part.runs + (part.reason == ResultCode::ServerShed ? 1 : 0);
+    }
+
+} // namespace
+
 std::string toMessagePack(const json& root)
 {
     std::string bytes;
@@ -23,16 +36,21 @@
 json encodeMissing(const std::vector<MissingPart>& missing)
 {
     json list = json::array();
-    for (const MissingPart& part : missing)
-        list.push_back(json::array({ part.service, static_cast<int>(part.reason), part.runs }));
+    for (const MissingPart& part : missing) {
+        json& entry = list.emplace_back(json::array({ part.service, static_cast<int>(part.reason), part.runs }));
+        if (part.sentCalls != impliedSentCalls(part))
+            entry.push_back(part.sentCalls);
+    }
     return list;
 }
 
 std::vector<MissingPart> decodeMissing(const json& list)
 {
     std::vector<MissingPart> missing;
-    for (const json& part : list)
-        missing.push_back({ part.at(0).get<std::string>(), static_cast<ResultCode>(part.at(1).get<int>()), part.at(2).get<uint32_t>() });
+    for (const json& entry : list) {
+        MissingPart& part = missing.emplace_back(MissingPart { entry.at(0).get<std::string>(), static_cast<ResultCode>(entry.at(1).get<int>()), entry.at(2).get<uint32_t>() });
+        part.sentCalls = entry.size() > kSentCallsField ? entry.at(kSentCallsField).get<uint32_t>() : impliedSentCalls(part);
+    }
     return missing;
 }
 
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -402,7 +402,7 @@
             continue;
         }
         const ResultCode reason = part.state == PartState::Missing ? part.reason : ResultCode::AttemptTimeout;
-        answer.missing.push_back({ *part.service, reason, part.runs });
+        answer.missing.push_back({ *part.service, reason, part.runs, part.sentCalls });
     }
     answer.code = answer.missing.empty() ? ResultCode::Ok : ResultCode::PartialCoverage;
     stats_.partsMissing += answer.missing.size();
@@ -433,7 +433,7 @@
     if (openRequest.isMerged()) {
         for (const Part& part : openRequest.parts) {
             if (part.state != PartState::Done)
-                answer.missing.push_back({ *part.service, part.state == PartState::Missing ? part.reason : ResultCode::AttemptTimeout, part.runs });
+                answer.missing.push_back({ *part.service, part.state == PartState::Missing ? part.reason : ResultCode::AttemptTimeout, part.runs, part.sentCalls });
         }
     }
     finish(openRequest, std::move(answer));
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -146,7 +146,7 @@
         const auto entry = missingByService.find(*part.service);
         if (entry != missingByService.end()) {
             part.runs = std::min(entry->second->runs, openRequest.route->maxAttempts);
-            part.sentCalls = part.runs;
+            part.sentCalls = std::max(part.runs, entry->second->sentCalls);
             missingParts.emplace_back(i, entry->second->reason);
         } else if (acceptedParts < reply.signatures.size()) {
             part.reply.signature = std::move(reply.signatures[acceptedParts]);
--- a/src/request/dispatcher_relay.cpp
+++ b/src/request/dispatcher_relay.cpp
@@ -86,8 +86,8 @@
     if (init_.relays == nullptr || openRequest.isRelayed || openRequest.isGroup)
         return false;
     const std::vector<Part>& parts = openRequest.parts;
-    const bool hasRun = std::any_of(parts.begin(), parts.end(), [](const Part& part) { return part.runs > 0 || part.group != 0; });
-    return !hasRun && std::any_of(parts.begin(), parts.end(), [](const Part& part) { return part.state == PartState::Missing && isOutOfReach(part.reason); });
+    const bool isSent = std::any_of(parts.begin(), parts.end(), [](const Part& part) { return part.sentCalls > 0 || part.group != 0; });
+    return !isSent && std::any_of(parts.begin(), parts.end(), [](const Part& part) { return part.state == PartState::Missing && isOutOfReach(part.reason); });
 }
 
 /// Relays the request to an instance to which it has not been relayed yet. Returns false if there is none.
--- a/tests/message_compatibility_test.cpp
+++ b/tests/message_compatibility_test.cpp
@@ -133,3 +133,15 @@
     notice.reports.resize(kMaxNoticeEntries + 1, notice.reports[0]);
     CHECK_FALSE(decodeCrashNotice(encode(notice, now), now));
 }
+
+TEST_CASE("calls that replicas refused are reported with a missing part, and assumed if the earlier build reports none")
+{
+    const std::vector<MissingPart> missing { { "s0", ResultCode::ServerShed, 0, 2 }, { "s1", ResultCode::AttemptTimeout, 1, 1 }, { "s2", ResultCode::NoReplicaReachable, 0, 0 } };
+    const std::vector<MissingPart> decoded = decodeMissing(encodeMissing(missing));
+    REQUIRE(decoded.size() == missing.size());
+    for (size_t i = 0; i < missing.size(); ++i)
+        CHECK(decoded[i].sentCalls == missing[i].sentCalls);
+    const std::vector<MissingPart> earlier = decodeMissing(json::array({ json::array({ "s0", static_cast<int>(ResultCode::ServerShed), 0 }), json::array({ "s1", static_cast<int>(ResultCode::AttemptTimeout), 2 }) }));
+    CHECK(earlier.at(0).sentCalls == 1);
+    CHECK(earlier.at(1).sentCalls == 2);
+}
