--- a/src/connection/crash_detector.h
+++ b/src/connection/crash_detector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Tells crashes of replicas from lost connections. A call whose connection ended without a reply is kept until the replica
+/// Distinguishes crashes of replicas from lost connections. A call whose connection ended without a reply is kept until the replica
 /// shows whether its process still runs: by an answer, or by refusing connections.
 
 #include "../process/replica_directory.h"
--- a/src/gateway/crash_exchange.h
+++ b/src/gateway/crash_exchange.h
@@ -16,7 +16,7 @@
     CrashLedger* ledger = nullptr;
     const InstanceDirectory* instances = nullptr;
     InstanceLinks* links = nullptr;
-    /// Addresses of the registry readers, which every instance knows from its start.
+    /// Addresses of the registry readers, from the settings.
     std::vector<Endpoint> readers;
 };
 
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -18,7 +18,7 @@
     TimePoint endedAt {};
 };
 
-/// Quarantine of a request, as instances tell each other.
+/// Quarantine of a request, as instances send it to each other.
 struct QuarantineEntry {
     RequestFingerprint request;
     /// Time since the last crash.
@@ -85,7 +85,7 @@
         uint32_t terms = 0;
     };
 
-    /// Adds a report to the evidence. Returns false when it tells nothing new.
+    /// Adds a report to the evidence. Returns false when it adds nothing.
     bool add(const CrashReport& report, TimePoint now);
     void forgetOldestCrash(RequestFingerprint request, Suspect& suspect);
     /// Quarantines or releases a request as the evidence demands.
--- a/src/request/dispatcher_crashes.cpp
+++ b/src/request/dispatcher_crashes.cpp
@@ -97,12 +97,12 @@
     return true;
 }
 
-/// Tells the sender of a group that its request is quarantined.
+/// Answers the sender of a group that its request is quarantined.
 void Dispatcher::rejectQuarantinedGroup(uint64_t request, const GroupRequest& group)
 {
     RouteAnswer answer;
     answer.code = quarantineCode(group.forwarded);
-    // Builds that do not know the reason call the replicas themselves unless all attempts are used up.
+    // Builds without this reason call the replicas themselves unless all attempts are used up.
     for (const std::string& shard : group.shards)
         answer.missing.push_back({ shard, answer.code, group.maxAttempts });
     RequestReport report;
