Aggregators and relay targets are chosen by the features that a request requires

Cause: an instance of an earlier build ignores fields of a group or relay that it was built without, so that a request whose processing is restricted must not be sent to it; the choices of instances had no way to say so. Changed: GatherPlan::divide() and RelayChoice::choose() take a bit set of required features; without one nothing changes. Ruled out: a list of excluded instances, which each caller would have to form.

--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -99,12 +99,12 @@
     return candidates;
 }
 
-const InstanceInfo* GatherPlan::chooseAggregator(std::string_view key, TimePoint now) const
+const InstanceInfo* GatherPlan::chooseAggregator(std::string_view key, uint32_t requiredFeatures, TimePoint now) const
 {
     const InstanceInfo* best = nullptr;
     double bestExpectedTime = 0;
     for (const InstanceInfo* candidate : aggregatorCandidates(key)) {
-        if (candidate->name == init_.self)
+        if (candidate->name == init_.self || !candidate->supportsAll(requiredFeatures))
             continue;
         const auto found = aggregatorStates_.find(candidate->name);
         const AggregatorState state = found == aggregatorStates_.end() ? AggregatorState {} : found->second;
@@ -120,14 +120,14 @@
     return best;
 }
 
-std::vector<GatherGroup> GatherPlan::divide(const RouteSpec& route, TimePoint now)
+std::vector<GatherGroup> GatherPlan::divide(const RouteSpec& route, TimePoint now, uint32_t requiredFeatures)
 {
     std::vector<GatherGroup> groups;
     // The decision depends on the shard's service, so that routes with the same shards share connections.
     if (!dividedShards_.contains(route.shards.front()))
         return groups;
     for (GatherGroup& group : splitShards(route.shards.size())) {
-        const InstanceInfo* aggregator = chooseAggregator(route.shards[group.firstShard], now);
+        const InstanceInfo* aggregator = chooseAggregator(route.shards[group.firstShard], requiredFeatures, now);
         // The shards of a group without an available aggregator are called directly.
         if (aggregator == nullptr)
             continue;
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -37,8 +37,9 @@
     void setTable(const RouteTable& table);
 
     /// Divides the route's shards into groups and selects an aggregator for each of them. Shards that
-    /// are in no group have to be called directly; the result is empty if that applies to all.
-    std::vector<GatherGroup> divide(const RouteSpec& route, TimePoint now);
+    /// are in no group have to be called directly; the result is empty if that applies to all. `requiredFeatures`: bits of
+    /// `InstanceFeature` that an aggregator must support.
+    std::vector<GatherGroup> divide(const RouteSpec& route, TimePoint now, uint32_t requiredFeatures = 0);
 
     /// Record that a group was sent to an aggregator and how it ended. `duration` is the time from
     /// sending to the reply.
@@ -76,8 +77,8 @@
     std::vector<GatherGroup> splitShards(size_t shards) const;
     /// Instances of the zone with the lowest rendezvous hashes for `key`, the first shard of a group.
     std::vector<const InstanceInfo*> aggregatorCandidates(std::string_view key) const;
-    /// Returns the candidate with the shortest expected time; null if none is available.
-    const InstanceInfo* chooseAggregator(std::string_view key, TimePoint now) const;
+    /// Returns the candidate with the required features and the shortest expected time; null if none is available.
+    const InstanceInfo* chooseAggregator(std::string_view key, uint32_t requiredFeatures, TimePoint now) const;
     void updateOwnShards();
 
     const GatherPlanInit init_;
--- a/src/request/relay_choice.h
+++ b/src/request/relay_choice.h
@@ -29,8 +29,9 @@
     void setInstances(std::vector<InstanceInfo> instances);
     /// Returns the instance to use; null if none is left. Instances of the own zone come first, unless one of them has
     /// just declined. Another zone is left out for a while after one of its instances could not be reached, unless others of
-    /// it have answered. `tried`: names of instances that may not be chosen.
-    const InstanceInfo* choose(std::span<const std::string> tried, TimePoint now);
+    /// it have answered. `tried`: names of instances that may not be chosen; `requiredFeatures`: bits of `InstanceFeature`
+    /// that the instance must support.
+    const InstanceInfo* choose(std::span<const std::string> tried, TimePoint now, uint32_t requiredFeatures = 0);
     void relayStarted(const InstanceInfo& instance);
     void relayEnded(const std::string& instance, RelayEnd end, TimePoint now);
 
