Requests of routes with home regions are processed only there

Cause: the home regions of a route were decoded and passed on but nothing decided by them, so that a request of such a route could reach a replica or an instance of any zone. Changed: ZoneRegions and AllowedZones say which zones may process a route's requests. Replicas are chosen among these zones for first calls, retries, hedges, reassigned and resumed calls; the subset of replicas is formed from them; groups carry the home regions (optional field 12) and, like relays, go only to instances in allowed zones whose build keeps to home regions; reasons of refusals, times of retries, reach and readiness count only allowed replicas. An aggregator that gets a group without home regions takes those of its own configuration. Zones that cannot gather a route's groups count with all instances among those that share connections to its shards. Of several entries of an instance in the lists of readers, that with the fewest features counts, since earlier builds drop them. Ruled out: deciding division by route (routes over the same shards would use different aggregators and more connections); filtering the subset instead of forming it from allowed replicas (it prefers the own zone and may hold no home). message_compatibility_test, "messages of a later build with more fields": place 12 of a group, which the test filled with a text as an unknown field, now has a meaning; the test puts a list there and the unknown field behind it. A wrong type at place 12 is refused, which a new test checks: ignoring it would lift the restriction.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,6 +53,7 @@
 
 Gateway::Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log)
     : settings_(settings)
+    , regions_(settings_.regions)
     , settingsFile_(std::move(settingsFile))
     , clock_(clock)
     , log_(log)
@@ -74,7 +75,7 @@
 
 void Gateway::makeDispatcher()
 {
-    plan_ = std::make_unique<GatherPlan>(GatherPlanInit { settings_.name, settings_.processorShare });
+    plan_ = std::make_unique<GatherPlan>(GatherPlanInit { settings_.name, settings_.processorShare, &regions_ });
     replicaLinks_ = std::make_unique<ReplicaLinks>(ReplicaLinksInit { &loop_, &clock_, &state_.directory(), plan_.get() });
     instanceLinks_ = std::make_unique<InstanceLinks>(&loop_, clock_);
     DispatcherInit init;
@@ -89,6 +90,7 @@
     init.transport = replicaLinks_.get();
     init.answers = this;
     init.directory = &state_.directory();
+    init.regions = &regions_;
     init.zone = settings_.zone;
     init.instance = settings_.name;
     init.seed = settings_.seed != 0 ? settings_.seed : std::random_device {}();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,7 @@
     HttpResponse statusPage() const;
 
     GatewaySettings settings_;
+    const ZoneRegions regions_;
     const std::string settingsFile_;
     const ClockI& clock_;
     EventLog& log_;
@@ -127,7 +128,7 @@
     std::unique_ptr<PeerFollower> follower_;
     TimePoint lastMaintenanceAt_ {};
     ZoneReach reach_;
-    Reachability reachability_;
+    Reachability reachability_ { &regions_ };
     bool isShuttingDown_ = false;
     /// The process exits at the earliest when the load balancer has noticed, at the latest when the grace period ends.
     TimePoint earliestExitAt_ {};
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -12,6 +12,8 @@
 
     /// Index of the fingerprint in a request; instances of earlier releases do not send it.
     constexpr size_t kFingerprintField = 11;
+    /// Index of the home regions in a request, which are left out when the route has none; likewise.
+    constexpr size_t kHomeRegionsField = 12;
     /// Index of the leaving replicas in a reply; instances of earlier releases do not send them.
     constexpr size_t kLeavingReplicasField = 5;
     /// Index of the rate limits in a reply, likewise.
@@ -22,9 +24,12 @@
 std::string encode(const GroupRequest& request)
 {
     const ForwardedRequest& forwarded = request.forwarded;
-    return toMessagePack(json::array({ binary(forwarded.requestId), binary(forwarded.method), binary(forwarded.target), binary(forwarded.host),
+    json fields = json::array({ binary(forwarded.requestId), binary(forwarded.method), binary(forwarded.target), binary(forwarded.host),
         binary(forwarded.commonHead), request.route, request.shards, request.softTimeout.count(), request.timeLeft.count(),
-        request.maxAttempts, request.topRecords, forwarded.fingerprint.value }));
+        request.maxAttempts, request.topRecords, forwarded.fingerprint.value });
+    if (!request.homeRegions.empty())
+        fields.push_back(request.homeRegions);
+    return toMessagePack(fields);
 }
 
 std::optional<GroupRequest> decodeGroupRequest(const std::string& bytes)
@@ -46,6 +51,8 @@
         request.topRecords = root.at(10).get<uint32_t>();
         if (root.size() > kFingerprintField)
             request.forwarded.fingerprint.value = root.at(kFingerprintField).get<uint64_t>();
+        if (root.size() > kHomeRegionsField)
+            request.homeRegions = root.at(kHomeRegionsField).get<std::vector<std::string>>();
         if (request.shards.empty() || request.shards.size() > kMaxGroupShards || request.timeLeft <= Millis::zero() || request.maxAttempts == 0)
             return std::nullopt;
         return request;
--- a/src/process/instance_directory.cpp
+++ b/src/process/instance_directory.cpp
@@ -1,6 +1,7 @@
 #include "instance_directory.h"
 
 #include <algorithm>
+#include <bit>
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -19,7 +20,8 @@
 
     void sortUniqueByName(std::vector<InstanceInfo>& instances)
     {
-        std::sort(instances.begin(), instances.end(), [](const InstanceInfo& a, const InstanceInfo& b) { return a.name < b.name; });
+        // Of several entries, that with the fewest features is kept: earlier builds drop features from the lists that they serve.
+        std::sort(instances.begin(), instances.end(), [](const InstanceInfo& a, const InstanceInfo& b) { return a.name != b.name ? a.name < b.name : std::popcount(a.features) < std::popcount(b.features); });
         const auto last = std::unique(instances.begin(), instances.end(), [](const InstanceInfo& a, const InstanceInfo& b) { return a.name == b.name; });
         instances.erase(last, instances.end());
     }
--- a/src/process/reachability.cpp
+++ b/src/process/reachability.cpp
@@ -18,14 +18,14 @@
         uint32_t reached = 0;
     };
 
-    ShardCount countShards(const RouteSpec& route, const ReplicaDirectory& directory, const ZoneReach& reach)
+    ShardCount countShards(const RouteSpec& route, const ReplicaDirectory& directory, const ZoneReach& reach, const AllowedZones& zones)
     {
         ShardCount count;
         for (const std::string& shard : route.shards) {
             const auto& replicas = directory.replicasOf(shard);
-            const bool isRegistered = std::any_of(replicas.begin(), replicas.end(), [](const ReplicaPtr& replica) { return replica->acceptsWork(); });
+            const bool isRegistered = std::any_of(replicas.begin(), replicas.end(), [&zones](const ReplicaPtr& replica) { return zones.contains(replica->entry.zone) && replica->acceptsWork(); });
             count.registered += isRegistered ? 1 : 0;
-            count.reached += reach.isServiceReachable(directory, shard) ? 1 : 0;
+            count.reached += reach.isServiceReachable(directory, shard, zones) ? 1 : 0;
         }
         return count;
     }
@@ -63,7 +63,7 @@
         if (route.shards.empty())
             continue;
         totalWeight += weightOf(route.name);
-        const ShardCount count = countShards(route, directory, reach);
+        const ShardCount count = countShards(route, directory, reach, AllowedZones(regions_, route.homeRegions));
         if (!isCoverageMet(count.registered, route) || isCoverageMet(count.reached, route))
             continue;
         cutWeight += weightOf(route.name);
--- a/src/process/reachability.h
+++ b/src/process/reachability.h
@@ -12,6 +12,12 @@
 public:
     /// Counts a request of a route.
     void countRequest(const std::string& route);
+    /// `regions`: regions of the zones; null if there is only one region.
+    explicit Reachability(const ZoneRegions* regions = nullptr)
+        : regions_(regions)
+    {
+    }
+
     /// Re-evaluates the routes. Must be called periodically.
     void update(const RouteTable& table, const ReplicaDirectory& directory, const ZoneReach& reach, TimePoint now);
 
@@ -24,6 +30,8 @@
 private:
     double weightOf(const std::string& route) const;
 
+    const ZoneRegions* regions_;
+
     /// Number of recent requests by route. The counts are halved regularly, so that old requests lose weight.
     absl::flat_hash_map<std::string, double> requests_;
     double requestCount_ = 0;
--- a/src/process/zone_reach.cpp
+++ b/src/process/zone_reach.cpp
@@ -108,11 +108,11 @@
     return static_cast<size_t>(std::count_if(found->second.begin(), found->second.end(), [now](const Notice& notice) { return now - notice.receivedAt <= kNoticeTtl; }));
 }
 
-bool ZoneReach::isServiceReachable(const ReplicaDirectory& directory, const std::string& service) const
+bool ZoneReach::isServiceReachable(const ReplicaDirectory& directory, const std::string& service, const AllowedZones& zones) const
 {
     const auto& replicas = directory.replicasOf(service);
-    return std::any_of(replicas.begin(), replicas.end(), [this](const ReplicaPtr& replica) {
-        return replica->acceptsWork() && !replica->health.isUnreachable() && isReachable(replica->entry.zone);
+    return std::any_of(replicas.begin(), replicas.end(), [this, &zones](const ReplicaPtr& replica) {
+        return zones.contains(replica->entry.zone) && replica->acceptsWork() && !replica->health.isUnreachable() && isReachable(replica->entry.zone);
     });
 }
 
--- a/src/process/zone_reach.h
+++ b/src/process/zone_reach.h
@@ -5,6 +5,7 @@
 /// unreachable, and the instances of one zone notify each other of such findings.
 
 #include "replica_directory.h"
+#include "zone_regions.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -28,8 +29,8 @@
     /// Returns zones whose reachability is in doubt. Connecting to one of their replicas settles it. These are zones that
     /// other instances cannot reach, which may be cut off alone, and all zones when connecting to several replicas failed.
     std::vector<std::string> zonesToProbe(const ReplicaDirectory& directory, TimePoint now) const;
-    /// True when a replica of the service accepts work and neither it nor its zone is unreachable.
-    bool isServiceReachable(const ReplicaDirectory& directory, const std::string& service) const;
+    /// True when a replica of the service in the zones accepts work and neither it nor its zone is unreachable.
+    bool isServiceReachable(const ReplicaDirectory& directory, const std::string& service, const AllowedZones& zones = {}) const;
     /// Returns the unreachable zones, sorted.
     std::vector<std::string> unreachableZones() const;
     /// Returns the zones that this instance found unreachable and must announce to the others, sorted. Zones that
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -81,7 +81,29 @@
 
 std::vector<ReplicaPtr> Dispatcher::usedReplicas(const std::string& service) const
 {
-    return limpettrestle::selectReplicaSubset(init_.directory->replicasOf(service), table_ ? table_->maxConnections(service) : 0, subsetFor(service), clock_.now());
+    if (!table_ || table_->homeRegionsOf(service).empty())
+        return usedReplicas(service, AllowedZones());
+    std::vector<ReplicaPtr> used;
+    for (const std::vector<std::string>& homeRegions : table_->homeRegionsOf(service)) {
+        for (const ReplicaPtr& replica : usedReplicas(service, AllowedZones(init_.regions, homeRegions))) {
+            if (std::find(used.begin(), used.end(), replica) == used.end())
+                used.push_back(replica);
+        }
+    }
+    return used;
+}
+
+/// Returns the replicas that a request restricted to these zones may use. The subset is formed from the replicas of these
+/// zones alone, since that of all replicas need not contain one of them.
+std::vector<ReplicaPtr> Dispatcher::usedReplicas(const std::string& service, const AllowedZones& zones) const
+{
+    const uint32_t maxConnections = table_ ? table_->maxConnections(service) : 0;
+    const std::vector<ReplicaPtr>& all = init_.directory->replicasOf(service);
+    if (!zones.isRestricted())
+        return selectReplicaSubset(all, maxConnections, subsetFor(service), clock_.now());
+    std::vector<ReplicaPtr> allowed;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(allowed), [&zones](const ReplicaPtr& replica) { return zones.contains(replica->entry.zone); });
+    return selectReplicaSubset(allowed, maxConnections, subsetFor(service), clock_.now());
 }
 
 double Dispatcher::repeatBurst(const std::string& service) const
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -12,6 +12,7 @@
 #include "../process/crash_ledger.h"
 #include "../process/replica_directory.h"
 #include "../process/zone_reach.h"
+#include "../process/zone_regions.h"
 #include "../version/route_table.h"
 #include "gather_plan.h"
 #include "relay_choice.h"
@@ -148,6 +149,8 @@
     CrashLedger* crashLedger = nullptr;
     /// Tells which zones are currently unreachable; null if reachability is not monitored.
     const ZoneReach* reach = nullptr;
+    /// Regions of the zones; null if there is only one region.
+    const ZoneRegions* regions = nullptr;
     /// Zone of this instance.
     std::string zone;
     uint64_t seed = 1;
@@ -198,7 +201,7 @@
 
     /// Sets the number of instances that share repeat budgets and connections to replicas.
     void setFleetSize(uint32_t instances);
-    /// Subset of a service's replicas that this instance calls.
+    /// Subset of a service's replicas that this instance calls, for all routes together.
     std::vector<ReplicaPtr> usedReplicas(const std::string& service) const;
     /// Maximum number of connections from this instance to one replica of a service.
     size_t connectionLimit(const std::string& service) const;
@@ -304,14 +307,16 @@
     uint32_t rateSharers(const std::string& service) const;
     void withdrawUnsentCalls(const ReplicaPtr& replica);
     void withdrawUnsentCalls(OpenRequest& openRequest);
-    ResultCode unavailableReason(const std::string& service) const;
-    Millis timeToNextCall(const std::string& service) const;
+    ResultCode unavailableReason(const std::string& service, const AllowedZones& zones) const;
+    Millis timeToNextCall(const std::string& service, const AllowedZones& zones) const;
     Millis retryAfterFailure(const OpenRequest& openRequest) const;
     void addAnnouncements(const OpenRequest& openRequest, RouteAnswer& answer) const;
 
     std::unique_ptr<OpenRequest> makeRequest(uint64_t request, ForwardedRequest forwarded, const RouteSpec& route);
     void reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter, std::string trail = {});
     RouteState& routeStateOf(const RouteSpec& route);
+    AllowedZones allowedZones(const RouteSpec& route) const { return { init_.regions, route.homeRegions }; }
+    std::vector<ReplicaPtr> usedReplicas(const std::string& service, const AllowedZones& zones) const;
     LoadBudget& repeatBudgetOf(const std::string& service);
 
     void launchCall(OpenRequest& openRequest, size_t partIndex, const ReplicaPtr& replica, bool isRepeat);
--- a/src/request/dispatcher_announcements.cpp
+++ b/src/request/dispatcher_announcements.cpp
@@ -86,25 +86,25 @@
     }
 }
 
-/// Returns why a service has no replica for a first call.
-ResultCode Dispatcher::unavailableReason(const std::string& service) const
+/// Returns why a service has no replica in the zones for a first call.
+ResultCode Dispatcher::unavailableReason(const std::string& service, const AllowedZones& zones) const
 {
     const TimePoint now = clock_.now();
     const std::vector<ReplicaPtr>& replicas = init_.directory->replicasOf(service);
-    const bool isShed = std::any_of(replicas.begin(), replicas.end(), [now](const ReplicaPtr& replica) {
-        return replica->acceptsWork() && (replica->health.isBackingOff(now) || !replica->rate.mayCall(now));
+    const bool isShed = std::any_of(replicas.begin(), replicas.end(), [now, &zones](const ReplicaPtr& replica) {
+        return zones.contains(replica->entry.zone) && replica->acceptsWork() && (replica->health.isBackingOff(now) || !replica->rate.mayCall(now));
     });
     return isShed ? ResultCode::ServerShed : ResultCode::NoReplicaReachable;
 }
 
-/// Returns the time until a replica of the service takes requests of this instance again; zero when one does now, the
+/// Returns the time until a replica of the service in the zones takes requests of this instance again; zero when one does now, the
 /// maximum when none will.
-Millis Dispatcher::timeToNextCall(const std::string& service) const
+Millis Dispatcher::timeToNextCall(const std::string& service, const AllowedZones& zones) const
 {
     const TimePoint now = clock_.now();
     Millis shortest = Millis::max();
     for (const ReplicaPtr& replica : init_.directory->replicasOf(service)) {
-        if (!replica->acceptsWork())
+        if (!replica->acceptsWork() || !zones.contains(replica->entry.zone))
             continue;
         const TimePoint nextCallAt = std::max(replica->health.backOffUntil(), replica->rate.nextCallAt(now));
         const Millis left = nextCallAt == TimePoint::max() ? Millis::max() : std::chrono::ceil<Millis>(nextCallAt - now);
@@ -123,7 +123,7 @@
     std::vector<Millis> waits;
     for (const Part& part : openRequest.parts) {
         if (part.state == PartState::Missing)
-            waits.push_back(timeToNextCall(*part.service));
+            waits.push_back(timeToNextCall(*part.service, allowedZones(*openRequest.route)));
     }
     const auto decisive = waits.begin() + static_cast<std::ptrdiff_t>(required - available - 1);
     std::nth_element(waits.begin(), decisive, waits.end());
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -69,7 +69,7 @@
         budget.earn(init_.repeatRatio);
         chosen[i] = chooseReplicaFor(openRequest, part, ChoiceScope::First);
         if (!chosen[i])
-            markMissing(openRequest, part, unavailableReason(*part.service));
+            markMissing(openRequest, part, unavailableReason(*part.service, allowedZones(*openRequest.route)));
     }
     markUnreachableParts(openRequest, isGathered);
     // If the request cannot succeed, nothing is sent and `updateRequest()` answers with a failure.
@@ -88,7 +88,7 @@
 
 ReplicaPtr Dispatcher::chooseReplicaFor(const OpenRequest& openRequest, const Part& part, ChoiceScope scope)
 {
-    const std::vector<ReplicaPtr> candidates = usedReplicas(*part.service);
+    const std::vector<ReplicaPtr> candidates = usedReplicas(*part.service, allowedZones(*openRequest.route));
     const ChoiceQuery query { candidates, init_.zone, scope, openRequest.routeState->meanDuration, openRequest.mayRepeat() ? kLossCostIdempotent : kLossCostAtMostOnce, part.triedReplicas };
     return chooseReplica(query, clock_.now());
 }
--- a/src/request/dispatcher_crashes.cpp
+++ b/src/request/dispatcher_crashes.cpp
@@ -175,7 +175,7 @@
         if (replica)
             launchCall(openRequest, i, replica, false);
         else if (!isRepeat)
-            markMissing(openRequest, part, unavailableReason(*part.service));
+            markMissing(openRequest, part, unavailableReason(*part.service, allowedZones(*openRequest.route)));
         else if (!tryRepeat(openRequest, i, "retry"))
             markMissing(openRequest, part, part.reason);
     }
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -14,12 +14,22 @@
     /// An aggregator that exceeds the soft deadline by this much is assumed to be down or starved.
     constexpr Millis kGroupSuspicionDelay { 20 };
 
+    /// Returns the home regions of a group's route. Instances of earlier builds do not send them.
+    std::vector<std::string> homeRegionsOf(const GroupRequest& group, const RouteTable& table)
+    {
+        const RouteSpec* route = group.homeRegions.empty() ? table.match(group.forwarded.host, group.forwarded.target) : nullptr;
+        return route != nullptr ? route->homeRegions : group.homeRegions;
+    }
+
 } // namespace
 
 std::vector<GatherGroup> Dispatcher::planGroups(const OpenRequest& openRequest)
 {
     const bool mayDivide = init_.plan != nullptr && openRequest.isMerged() && !openRequest.isGroup && openRequest.request->body.empty();
-    return mayDivide ? init_.plan->divide(*openRequest.route, clock_.now()) : std::vector<GatherGroup>();
+    if (!mayDivide)
+        return {};
+    const AllowedZones zones = allowedZones(*openRequest.route);
+    return init_.plan->divide(*openRequest.route, clock_.now(), requiredFeatures(zones), zones);
 }
 
 /// Marks the unreachable parts of groups as missing if the other parts cannot reach the minimum coverage, so
@@ -28,9 +38,10 @@
 {
     if (init_.reach == nullptr)
         return;
+    const AllowedZones zones = allowedZones(*openRequest.route);
     std::vector<size_t> unreachable;
     for (size_t i = 0; i < openRequest.parts.size(); ++i) {
-        if (isGathered[i] && !init_.reach->isServiceReachable(*init_.directory, *openRequest.parts[i].service))
+        if (isGathered[i] && !init_.reach->isServiceReachable(*init_.directory, *openRequest.parts[i].service, zones))
             unreachable.push_back(i);
     }
     if (openRequest.pending() - unreachable.size() >= openRequest.requiredParts())
@@ -55,6 +66,7 @@
     request.timeLeft = std::max(Millis(1), std::chrono::duration_cast<Millis>(openRequest.deadlineAt - now));
     request.maxAttempts = openRequest.route->maxAttempts;
     request.topRecords = openRequest.route->topRecords;
+    request.homeRegions = openRequest.route->homeRegions;
     const uint64_t id = ++lastId_;
     for (size_t i = plannedGroup.firstShard; i < plannedGroup.firstShard + plannedGroup.shardCount; ++i) {
         openRequest.parts[i].group = id;
@@ -88,6 +100,7 @@
     route->shards = std::move(group.shards);
     route->topRecords = group.topRecords;
     route->minCoverage = 0;
+    route->homeRegions = homeRegionsOf(group, *table_);
     group.forwarded.callerTimeout = group.timeLeft;
     auto newRequest = makeRequest(request, std::move(group.forwarded), *route);
     newRequest->groupRoute = std::move(route);
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -21,6 +21,12 @@
     return code == ResultCode::RequestQuarantined || code == ResultCode::RequestSuspended;
 }
 
+/// Features of `InstanceFeature` that another instance needs for requests that are restricted to these zones.
+inline uint32_t requiredFeatures(const AllowedZones& zones)
+{
+    return zones.isRestricted() ? static_cast<uint32_t>(InstanceFeature::HomeRegions) : 0;
+}
+
 /// Statistics of one route. They are kept when the configuration changes.
 struct Dispatcher::RouteState {
     RouteState(Micros initialMean, int window)
--- a/src/request/dispatcher_relay.cpp
+++ b/src/request/dispatcher_relay.cpp
@@ -97,7 +97,8 @@
     const Millis timeLeft = std::chrono::duration_cast<Millis>(openRequest.deadlineAt - now) - kRelayMargin;
     if (openRequest.relayTargets.size() >= kMaxRelays || timeLeft < kMinTimeLeft)
         return false;
-    const InstanceInfo* instance = relayChoice_.choose(openRequest.relayTargets, now);
+    const AllowedZones zones = allowedZones(*openRequest.route);
+    const InstanceInfo* instance = relayChoice_.choose(openRequest.relayTargets, now, requiredFeatures(zones), zones);
     if (instance == nullptr)
         return false;
     withdrawUnsentCalls(openRequest);
--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -99,12 +99,12 @@
     return candidates;
 }
 
-const InstanceInfo* GatherPlan::chooseAggregator(std::string_view key, uint32_t requiredFeatures, TimePoint now) const
+const InstanceInfo* GatherPlan::chooseAggregator(std::string_view key, uint32_t requiredFeatures, const AllowedZones& zones, TimePoint now) const
 {
     const InstanceInfo* best = nullptr;
     double bestExpectedTime = 0;
     for (const InstanceInfo* candidate : aggregatorCandidates(key)) {
-        if (candidate->name == init_.self || !candidate->supportsAll(requiredFeatures))
+        if (candidate->name == init_.self || !candidate->supportsAll(requiredFeatures) || !zones.contains(candidate->zone))
             continue;
         const auto found = aggregatorStates_.find(candidate->name);
         const AggregatorState state = found == aggregatorStates_.end() ? AggregatorState {} : found->second;
@@ -120,14 +120,14 @@
     return best;
 }
 
-std::vector<GatherGroup> GatherPlan::divide(const RouteSpec& route, TimePoint now, uint32_t requiredFeatures)
+std::vector<GatherGroup> GatherPlan::divide(const RouteSpec& route, TimePoint now, uint32_t requiredFeatures, const AllowedZones& zones)
 {
     std::vector<GatherGroup> groups;
     // The decision depends on the shard's service, so that routes with the same shards share connections.
     if (!dividedShards_.contains(route.shards.front()))
         return groups;
     for (GatherGroup& group : splitShards(route.shards.size())) {
-        const InstanceInfo* aggregator = chooseAggregator(route.shards[group.firstShard], requiredFeatures, now);
+        const InstanceInfo* aggregator = chooseAggregator(route.shards[group.firstShard], requiredFeatures, zones, now);
         // The shards of a group without an available aggregator are called directly.
         if (aggregator == nullptr)
             continue;
@@ -173,7 +173,9 @@
 {
     dividedShards_.clear();
     ownShards_.clear();
+    excludedZones_.clear();
     for (const RouteSpec& route : routes_) {
+        updateExcludedZones(route);
         if (shouldDivide(route))
             dividedShards_.insert(route.shards.begin(), route.shards.end());
         for (const GatherGroup& group : splitShards(route.shards.size())) {
@@ -185,6 +187,15 @@
     }
 }
 
+void GatherPlan::updateExcludedZones(const RouteSpec& route)
+{
+    const size_t zones = init_.regions != nullptr ? init_.regions->excludedZones(route.homeRegions) : 0;
+    if (zones == 0)
+        return;
+    for (const std::string& shard : route.shards)
+        excludedZones_[shard] = std::max(excludedZones_[shard], static_cast<uint32_t>(zones));
+}
+
 bool GatherPlan::callsDirectly(const std::string& service) const
 {
     return !dividedShards_.contains(service) || ownShards_.contains(service);
@@ -202,7 +213,11 @@
 
 uint32_t GatherPlan::connectionSharerCount(const std::string& service) const
 {
-    return aggregatorCount(service) * kConnectionSharerFactor;
+    const uint32_t aggregators = aggregatorCount(service);
+    const auto excluded = excludedZones_.find(service);
+    if (aggregators == 0 || excluded == excludedZones_.end())
+        return aggregators * kConnectionSharerFactor;
+    return aggregators * kConnectionSharerFactor + excluded->second * static_cast<uint32_t>(instances_.size());
 }
 
 } // namespace limpettrestle
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -5,6 +5,7 @@
 /// of a search over several instances, and each instance needs connections to few replicas.
 
 #include "../process/instance_directory.h"
+#include "../process/zone_regions.h"
 #include "../version/route_table.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -23,6 +24,8 @@
     std::string self;
     /// CPU time available to an instance, in seconds per second.
     double processorShare = 1;
+    /// Regions of the zones; null if there is only one region.
+    const ZoneRegions* regions = nullptr;
 };
 
 class GatherPlan {
@@ -38,8 +41,8 @@
 
     /// Divides the route's shards into groups and selects an aggregator for each of them. Shards that
     /// are in no group have to be called directly; the result is empty if that applies to all. `requiredFeatures`: bits of
-    /// `InstanceFeature` that an aggregator must support.
-    std::vector<GatherGroup> divide(const RouteSpec& route, TimePoint now, uint32_t requiredFeatures = 0);
+    /// `InstanceFeature` that an aggregator must support; `zones`: zones in which it may be.
+    std::vector<GatherGroup> divide(const RouteSpec& route, TimePoint now, uint32_t requiredFeatures = 0, const AllowedZones& zones = {});
 
     /// Record that a group was sent to an aggregator and how it ended. `duration` is the time from
     /// sending to the reply.
@@ -77,9 +80,10 @@
     std::vector<GatherGroup> splitShards(size_t shards) const;
     /// Instances of the zone with the lowest rendezvous hashes for `key`, the first shard of a group.
     std::vector<const InstanceInfo*> aggregatorCandidates(std::string_view key) const;
-    /// Returns the candidate with the required features and the shortest expected time; null if none is available.
-    const InstanceInfo* chooseAggregator(std::string_view key, uint32_t requiredFeatures, TimePoint now) const;
+    /// Returns the candidate in the zones with the required features and the shortest expected time; null if none is available.
+    const InstanceInfo* chooseAggregator(std::string_view key, uint32_t requiredFeatures, const AllowedZones& zones, TimePoint now) const;
     void updateOwnShards();
+    void updateExcludedZones(const RouteSpec& route);
 
     const GatherPlanInit init_;
     std::vector<InstanceInfo> instances_;
@@ -91,6 +95,8 @@
     absl::flat_hash_set<std::string> dividedShards_;
     /// Shards of the groups for which this instance is an aggregator candidate.
     absl::flat_hash_set<std::string> ownShards_;
+    /// Number of zones whose instances call a shard directly, because they may not gather it for a route with home regions.
+    absl::flat_hash_map<std::string, uint32_t> excludedZones_;
 };
 
 } // namespace limpettrestle
--- a/src/request/relay_choice.cpp
+++ b/src/request/relay_choice.cpp
@@ -49,12 +49,12 @@
     return now - zone->second.declinedAt <= kAvoidDuration ? kLastRank : rank;
 }
 
-const InstanceInfo* RelayChoice::choose(std::span<const std::string> tried, TimePoint now, uint32_t requiredFeatures)
+const InstanceInfo* RelayChoice::choose(std::span<const std::string> tried, TimePoint now, uint32_t requiredFeatures, const AllowedZones& zones)
 {
     int bestRank = kLastRank + 1;
     std::vector<const InstanceInfo*> best;
     for (const InstanceInfo& instance : instances_) {
-        if (!instance.supportsAll(requiredFeatures))
+        if (!instance.supportsAll(requiredFeatures) || !zones.contains(instance.zone))
             continue;
         const int rank = rankOf(instance, tried, now);
         if (rank < 0 || rank > bestRank)
--- a/src/request/relay_choice.h
+++ b/src/request/relay_choice.h
@@ -3,6 +3,7 @@
 /// Chooses the instance to which a request is relayed when the replicas that it needs are out of reach.
 
 #include "../process/instance_directory.h"
+#include "../process/zone_regions.h"
 
 #include <random>
 #include <span>
@@ -30,8 +31,8 @@
     /// Returns the instance to use; null if none is left. Instances of the own zone come first, unless one of them has
     /// just declined. Another zone is left out for a while after one of its instances could not be reached, unless others of
     /// it have answered. `tried`: names of instances that may not be chosen; `requiredFeatures`: bits of `InstanceFeature`
-    /// that the instance must support.
-    const InstanceInfo* choose(std::span<const std::string> tried, TimePoint now, uint32_t requiredFeatures = 0);
+    /// that the instance must support; `zones`: zones in which it may be.
+    const InstanceInfo* choose(std::span<const std::string> tried, TimePoint now, uint32_t requiredFeatures = 0, const AllowedZones& zones = {});
     void relayStarted(const InstanceInfo& instance);
     void relayEnded(const std::string& instance, RelayEnd end, TimePoint now);
 
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -45,6 +45,30 @@
     }
     for (const ServiceSpec& service : document_.services)
         maxConnections_[service.name] = service.maxConnections;
+    indexHomeRegions();
+}
+
+void RouteTable::indexHomeRegions()
+{
+    const auto addRoute = [this](const std::string& service, const RouteSpec& route) {
+        std::vector<std::vector<std::string>>& lists = homeRegions_[service];
+        if (std::find(lists.begin(), lists.end(), route.homeRegions) == lists.end())
+            lists.push_back(route.homeRegions);
+    };
+    for (const RouteSpec& route : document_.routes) {
+        for (const ServiceShare& share : route.shares)
+            addRoute(share.service, route);
+        for (const std::string& shard : route.shards)
+            addRoute(shard, route);
+    }
+    absl::erase_if(homeRegions_, [](const auto& entry) { return entry.second.size() == 1 && entry.second.front().empty(); });
+}
+
+const std::vector<std::vector<std::string>>& RouteTable::homeRegionsOf(const std::string& service) const
+{
+    static const std::vector<std::vector<std::string>> kNone;
+    const auto found = homeRegions_.find(service);
+    return found != homeRegions_.end() ? found->second : kNone;
 }
 
 const RouteSpec* RouteTable::match(std::string_view host, std::string_view target) const
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -25,12 +25,18 @@
 
     /// Maximum connections to a replica of the service; 0 if the service is unknown.
     uint32_t maxConnections(const std::string& service) const;
+    /// Distinct home regions of the routes that use the service, with an empty list for those that have none. Empty if no
+    /// route of the service has home regions.
+    const std::vector<std::vector<std::string>>& homeRegionsOf(const std::string& service) const;
 
 private:
+    void indexHomeRegions();
+
     RoutingDocument document_;
     /// Routes by host, sorted by descending prefix length.
     absl::flat_hash_map<std::string, std::vector<const RouteSpec*>> byHost_;
     absl::flat_hash_map<std::string, uint32_t> maxConnections_;
+    absl::flat_hash_map<std::string, std::vector<std::vector<std::string>>> homeRegions_;
 };
 
 /// Converts a host to lower case and removes its port.
--- a/tests/message_compatibility_test.cpp
+++ b/tests/message_compatibility_test.cpp
@@ -34,6 +34,12 @@
     return json::array({ 0, 200, -1, true, json::array({ json::array({ binary("X-A"), binary("b") }) }), binary("card"), false, json::array(), json::array(), 41, 1, 0 });
 }
 
+/// Entry of an instance in a list as the earlier build sends and reads it.
+json earlierInstance()
+{
+    return json::array({ "n2", "north", "10.0.0.7", 9000 });
+}
+
 constexpr std::string_view kEarlierChangesTarget = "/changes?run=7&after=12&hold=900&age=2400&config=41&era=6&instances=77&name=n2&zone=north&address=10.0.0.7:9000";
 constexpr std::string_view kEarlierChangesReply = R"({"run":7,"number":12,"whole":false,"replicas":true,"era":3,"age_ms":321,"sender":"n1","following":4,"fleet":12,)"
                                                   R"("instances_digest":9,"written":[["i-1","s0","10.0.0.1",80,"north",2,0,0,5,6]],"removed":["gone"]})";
@@ -99,10 +105,74 @@
     CHECK(decodeTarget(encodeTarget(changes))->quarantineDigest == 5);
 }
 
+TEST_CASE("the home regions of a group and the features of an instance are optional, and come after all that the earlier build reads")
+{
+    GroupRequest group = *decodeGroupRequest(toMessagePack(earlierGroupRequest()));
+    CHECK(group.homeRegions.empty());
+    group.homeRegions = { "east", "west" };
+    group.forwarded.fingerprint = { 99 };
+    const json sentGroup = json::from_msgpack(encode(group));
+    REQUIRE(sentGroup.size() == earlierGroupRequest().size() + 2);
+    for (size_t i = 0; i < earlierGroupRequest().size(); ++i)
+        CHECK(sentGroup.at(i) == earlierGroupRequest().at(i));
+    CHECK(sentGroup.at(11) == 99);
+    CHECK(sentGroup.at(12) == json::array({ "east", "west" }));
+    CHECK(decodeGroupRequest(encode(group))->homeRegions == group.homeRegions);
+    json badGroup = sentGroup;
+    badGroup.at(12) = 5;
+    CHECK_FALSE(decodeGroupRequest(toMessagePack(badGroup)));
+
+    json sent = json::parse(kEarlierChangesReply);
+    sent["instances"] = json::array({ earlierInstance() });
+    std::optional<ChangesReply> reply = decodeReply(sent.dump());
+    REQUIRE(reply);
+    REQUIRE(reply->instances->size() == 1);
+    CHECK(reply->instances->front() == InstanceInfo { "n2", "north", "10.0.0.7", 9000, 0 });
+    reply->instances->front().features = 3;
+    json entry = json::parse(encode(*reply)).at("instances").at(0);
+    CHECK(entry.at(4) == 3);
+    entry.erase(4);
+    CHECK(entry == earlierInstance());
+    CHECK(decodeReply(encode(*reply))->instances->front().features == 3);
+
+    ChangesRequest changes = *decodeTarget(std::string(kEarlierChangesTarget));
+    CHECK(changes.follower.features == 0);
+    changes.follower.features = 3;
+    CHECK(encodeTarget(changes) == std::string(kEarlierChangesTarget) + "&features=3");
+    CHECK(decodeTarget(encodeTarget(changes))->follower.features == 3);
+    CHECK_FALSE(decodeTarget(std::string(kEarlierChangesTarget) + "&features=x"));
+}
+
+TEST_CASE("home regions of a route travel with the configuration, which an earlier build sends without them")
+{
+    ChangesReply reply = *decodeReply(std::string(kEarlierChangesReply));
+    RouteSpec route;
+    route.name = "card";
+    route.host = "test.example";
+    route.prefix = "/card/";
+    route.shares.push_back({ "card", 1 });
+    route.homeRegions = { "west" };
+    reply.config = RoutingDocument { 41, { route }, { { "card", 63 } }, {} };
+    json sent = json::parse(encode(reply));
+    CHECK(decodeReply(sent.dump())->config->routes.at(0).homeRegions == std::vector<std::string> { "west" });
+    // The earlier build reads these fields of a route and of a service, by name and by place.
+    for (const char* field : { "name", "host", "prefix", "once", "timeout", "target", "priority", "attempts", "shares", "shards", "top", "coverage" })
+        CHECK(sent["config"]["routes"][0].contains(field));
+    CHECK(sent["config"]["services"][0].at(0) == "card");
+    CHECK(sent["config"]["services"][0].at(1) == 63);
+    sent["config"]["routes"][0].erase("homes");
+    sent["config"]["services"][0] = json::array({ "card", 63 });
+    const std::optional<ChangesReply> earlier = decodeReply(sent.dump());
+    REQUIRE(earlier);
+    CHECK(earlier->config->routes.at(0).homeRegions.empty());
+    CHECK(earlier->config->services.at(0).maxConnections == 63);
+}
+
 TEST_CASE("messages of a later build with more fields are understood")
 {
     json group = earlierGroupRequest();
     group.push_back(99);
+    group.push_back(json::array({ "east" }));
     group.push_back("later");
     CHECK(decodeGroupRequest(toMessagePack(group)));
     json relay = earlierRelayRequest();
--- a/tests/support/routing_bed.h
+++ b/tests/support/routing_bed.h
@@ -104,6 +104,7 @@
         init.transport = &transport;
         init.answers = this;
         init.directory = &directory;
+        init.regions = &regions;
         init.zone = "north";
         init.plan = plan;
         init.groups = groups;
@@ -241,6 +242,8 @@
 
     /// Time by which the clock advances while an answer is sent.
     Micros answerDuration { 0 };
+    /// Regions of the zones; a single region unless a test sets them.
+    ZoneRegions regions;
     ZoneReach reach;
     CrashRecorder crashes;
     CrashLedger crashLedger;
