--- a/tests/gateway_parts_test.cpp
+++ b/tests/gateway_parts_test.cpp
@@ -64,6 +64,22 @@
     CHECK(settingsErrorCode(replaceInSettings("\"ratio\": 0.2", "\"ratio\": \"high\"")) == ResultCode::SettingsBadValue);
 }
 
+TEST_CASE("the regions of the zones are optional names")
+{
+    const auto withZones = [](const std::string& zones) { return replaceInSettings("\"zone\": \"z\",", "\"zone\": \"z\", \"zones\": " + zones + ","); };
+    GatewaySettings settings;
+    REQUIRE(settingsErrorCode(kSettings, &settings) == ResultCode::Ok);
+    CHECK(settings.regions.empty());
+    REQUIRE(settingsErrorCode(withZones(R"({ "z": "east", "z-2": "east", "y": "west" })"), &settings) == ResultCode::Ok);
+    CHECK(settings.regions == std::map<std::string, std::string> { { "z", "east" }, { "z-2", "east" }, { "y", "west" } });
+    REQUIRE(settingsErrorCode(withZones("{}"), &settings) == ResultCode::Ok);
+    CHECK(settings.regions.empty());
+    for (const char* bad : { "5", "null", "[]", "\"east\"", R"(["z"])", R"({ "z": 1 })", R"({ "z": null })", R"({ "z": ["east"] })" }) {
+        INFO(bad);
+        CHECK(settingsErrorCode(withZones(bad)) == ResultCode::SettingsBadValue);
+    }
+}
+
 TEST_CASE("the monotonic clock includes the time that the system is suspended")
 {
     CHECK(SystemClock::kMonotonicSource == CLOCK_BOOTTIME);
--- a/tests/home_regions_test.cpp
+++ b/tests/home_regions_test.cpp
@@ -435,10 +435,17 @@
     setFeatures(test, kOwnFeatures);
     setHomes(test, { "east" });
     test.startDividedSearch(1);
-    REQUIRE_FALSE(test.groups.sent.empty());
+    REQUIRE(test.groups.sent.size() > 1);
     test.bed.dispatcher->groupFailed(test.groups.sent[0].id, false);
-    CHECK_FALSE(test.bed.transport.calls.empty());
+    const size_t calls = test.bed.transport.calls.size();
+    CHECK(calls == test.groups.sent[0].request.shards.size());
     CHECK(calledReplicaSuffixes(test.bed) == std::set<std::string> { "-a" });
+    for (const auto& [id, replica] : test.bed.directory.all()) {
+        if (replica->entry.zone == "north")
+            replica->health.recordBackOff(Millis(700), test.bed.clock.now());
+    }
+    test.bed.dispatcher->groupFailed(test.groups.sent[1].id, false);
+    CHECK(test.bed.transport.calls.size() == calls);
 }
 
 TEST_CASE("a search fails at once when its home regions are out of reach, although others are not")
