--- a/include/limpettrestle/result_codes.h
+++ b/include/limpettrestle/result_codes.h
@@ -42,6 +42,7 @@
     SlotUnavailable = 217,
     RequestQuarantined = 218,
     RequestSuspended = 219,
+    ReplicasEvacuated = 220,
 
     PartialCoverage = 301,
     CoverageBelowMinimum = 302,
--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -8,10 +8,12 @@
 namespace {
 
     /// Replicas whose entries expired during an outage of the registry, or are missing from its copy, register again
-    /// within this time after it.
+    /// within this time after it, and the operator writes again what its copy has lost.
     constexpr Millis kReregistrationTime { 2000 };
     /// No entry expires in a shorter outage: replicas report about every 1.2 s, and entries last for three reports.
     constexpr Millis kMinOutageWithExpiry { 2000 };
+    /// Source of the facts that were read from the registry.
+    constexpr std::string_view kRegistrySource = "registry";
 
 } // namespace
 
@@ -33,8 +35,15 @@
     directory_.deferRemovals(clock_.now() + kReregistrationTime);
 }
 
+void ClusterState::restartReading()
+{
+    listedIds_.clear();
+    listedZones_.clear();
+}
+
 void ClusterState::onRegistryRestored()
 {
+    keepEvacuationsUntil_ = clock_.now() + kReregistrationTime;
     directory_.onRegistryRestored(clock_.now());
     deferRemovals();
 }
@@ -46,15 +55,18 @@
     if (sync.hasRecovered() && previousAge >= kMinOutageWithExpiry)
         deferRemovals();
     if (sync.hasStartedFullRead())
-        listedIds_.clear();
+        restartReading();
+    readEra_ = sync.era();
     for (platform::StoreItem& item : items)
         std::visit([this](auto& entry) { applyItem(entry); }, item);
     if (!sync.hasCompletedFullRead())
         return;
     directory_.retainOnly(listedIds_, clock_.now());
-    listedIds_.clear();
+    endUnlistedEvacuations(sync);
+    restartReading();
     era_ = std::max(era_, sync.era());
     isComplete_ = true;
+    hasFacts_ = true;
 }
 
 void ClusterState::applyItem(const platform::ReplicaWritten& item)
@@ -71,6 +83,83 @@
     directory_.remove(item.id, clock_.now());
 }
 
+void ClusterState::applyItem(const platform::ZoneEvacuated& item)
+{
+    listedZones_.insert(item.zone);
+    mergeEvacuation(item.zone, true, { readEra_, item.revision });
+}
+
+void ClusterState::applyItem(const platform::ZoneRestored& item)
+{
+    listedZones_.erase(item.zone);
+    mergeEvacuation(item.zone, false, { readEra_, item.revision });
+}
+
+void ClusterState::endUnlistedEvacuations(const RegistrySync& sync)
+{
+    missingEvacuations_.clear();
+    const FactVersion version { sync.era(), sync.revision() };
+    for (const SharedFact& fact : evacuatedZones()) {
+        if (listedZones_.contains(fact.subject))
+            continue;
+        if (fact.version.era < version.era && clock_.now() < keepEvacuationsUntil_)
+            missingEvacuations_[fact.subject] = version;
+        else
+            mergeEvacuation(fact.subject, false, version);
+    }
+}
+
+void ClusterState::tick()
+{
+    directory_.tick(clock_.now());
+    facts_.expire(clock_.now());
+    if (missingEvacuations_.empty() || clock_.now() < keepEvacuationsUntil_)
+        return;
+    const absl::flat_hash_map<std::string, FactVersion> due = std::move(missingEvacuations_);
+    missingEvacuations_.clear();
+    for (const auto& [zone, version] : due)
+        mergeEvacuation(zone, false, version);
+}
+
+void ClusterState::mergeEvacuation(const std::string& zone, bool holds, FactVersion version)
+{
+    mergeFact({ FactKind::ZoneEvacuated, zone, holds, version, std::string(kRegistrySource), clock_.now() }, "");
+}
+
+void ClusterState::mergeFact(const SharedFact& fact, const std::string& sender)
+{
+    if (!facts_.merge(fact, clock_.now()))
+        return;
+    changes_.factsChanged();
+    if (fact.kind != FactKind::ZoneEvacuated)
+        return;
+    const Millis age = std::chrono::duration_cast<Millis>(clock_.now() - fact.learnedAt);
+    log_.info("event={} zone={} source={} sender={} version={}.{} age_ms={}", fact.holds ? "zone_evacuated" : "zone_restored", fact.subject, fact.source, sender, fact.version.era, fact.version.number, age.count());
+    updateEvacuatedZones();
+}
+
+void ClusterState::applyFacts(const std::vector<FactEntry>& entries, const std::string& sender)
+{
+    hasFacts_ = true;
+    for (const FactEntry& entry : entries)
+        mergeFact(toFact(entry, clock_.now()), sender);
+}
+
+std::vector<SharedFact> ClusterState::evacuatedZones() const
+{
+    std::vector<SharedFact> zones = facts_.ofKind(FactKind::ZoneEvacuated);
+    std::erase_if(zones, [](const SharedFact& fact) { return !fact.holds; });
+    return zones;
+}
+
+void ClusterState::updateEvacuatedZones()
+{
+    absl::flat_hash_set<std::string> zones;
+    for (const SharedFact& fact : evacuatedZones())
+        zones.insert(fact.subject);
+    directory_.setEvacuatedZones(std::move(zones));
+}
+
 void ClusterState::applyItem(const platform::InvalidItem& item)
 {
     log_.warn("event=registry_item_refused key={} problem=\"{}\"", item.key, item.problem);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,7 +69,8 @@
 
 RegistryPollTiming Gateway::registryPollTiming() const
 {
-    return RegistryPollTiming::forReactionTime(std::min(settings_.drainReaction, settings_.configReaction));
+    const Millis reaction = std::min(settings_.drainReaction, settings_.configReaction);
+    return RegistryPollTiming::forReactionTime(std::min(reaction, settings_.evacuationReaction.value_or(reaction)));
 }
 
 void Gateway::makeDispatcher()
@@ -114,6 +115,8 @@
     sourceChoice_ = std::make_unique<SourceChoice>(peers.size(), isReader_, offset, clock_.now(), timing.maxAge);
     peerServer_ = std::make_unique<PeerServer>(&loop_, clock_, *this, fleet_, instances_, *this);
     follower_ = std::make_unique<PeerFollower>(&loop_, clock_, instanceInfo(), std::move(peers), isReader_, timing.followerHold, *sourceChoice_);
+    if (settings_.evacuationReaction)
+        follower_->requireFacts();
     follower_->setHandlers([this](const ChangesReply& reply) { return onPeerReply(reply); },
         [this](const Endpoint& peer, const std::string& reason) { log_.logger().warn("event=dependency_lost name=peer address={} reason={}", peer.toString(), reason); });
 }
@@ -202,7 +205,8 @@
 void Gateway::runMaintenance()
 {
     checkSuspension();
-    state_.directory().tick(clock_.now());
+    state_.tick();
+    updateFacts();
     updateQuarantines();
     chooseSource();
     updateFleetSize();
@@ -459,6 +463,7 @@
     const bool wasComplete = state_.isComplete();
     state_.applyRegistry(std::move(items), sync, previousAge);
     follower_->setEra(state_.era());
+    updateFacts();
     noteCompleteState(wasComplete);
     peerServer_->answerHeldRequests();
 }
@@ -520,7 +525,8 @@
     if (reply.config)
         applyConfig(*reply.config, reply.sender);
     adoptQuarantines(reply);
-    const bool isAccepted = reply.includesReplicas && state_.acceptsEra(reply.era) && sourceChoice_->acceptsReplicas(registryClient_->isActive(), reply.age, now);
+    adoptFacts(reply);
+    const bool isAccepted = reply.includesReplicas && !lacksFacts(reply) && state_.acceptsEra(reply.era) && sourceChoice_->acceptsReplicas(registryClient_->isActive(), reply.age, now);
     if (isAccepted) {
         const bool wasComplete = state_.isComplete();
         state_.applyPeer(reply);
@@ -564,6 +570,7 @@
     reply.removed = changes.removed;
     if (request.quarantineDigest && *request.quarantineDigest != crashLedger_.digest())
         reply.quarantines = crashLedger_.quarantines(kMaxQuarantineEntries, now);
+    addFacts(request, reply);
     if (changes.hasConfig && configVersion() > request.configVersion)
         reply.config = dispatcher_->table()->document();
     return reply;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,6 +54,14 @@
     void updateQuarantines();
     /// Applies the quarantines in a reader's reply.
     void adoptQuarantines(const ChangesReply& reply);
+    /// Applies the shared facts in a reader's reply.
+    void adoptFacts(const ChangesReply& reply);
+    /// Called after the shared facts may have changed.
+    void updateFacts();
+    /// True when this instance must apply evacuations, and neither it nor the sender of the reply has read them.
+    bool lacksFacts(const ChangesReply& reply) const;
+    /// Adds the shared facts to a reply if the requester has others.
+    void addFacts(const ChangesRequest& request, ChangesReply& reply) const;
     /// Updates the unreachable zones and announces them to the other instances of the zone.
     void updateReach();
     /// Replies to the instance for which a group was gathered, or which relayed a request.
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -18,6 +18,18 @@
         return static_cast<double>(std::count_if(all.begin(), all.end(), [](const auto& entry) { return entry.second->rate.isLimited(); }));
     }
 
+    /// Lists the evacuated zones, each with the Unix time in milliseconds at which an instance first learned of it.
+    nlohmann::json evacuatedZonesJson(const ClusterState& state, const ClockI& clock)
+    {
+        nlohmann::json zones = nlohmann::json::array();
+        for (const SharedFact& fact : state.evacuatedZones()) {
+            const auto age = std::chrono::duration_cast<Millis>(clock.now() - fact.learnedAt);
+            const auto since = std::chrono::duration_cast<Millis>(clock.wallNow().time_since_epoch()) - age;
+            zones.push_back({ { "zone", fact.subject }, { "since_unix_ms", since.count() }, { "for_ms", age.count() }, { "source", fact.source } });
+        }
+        return zones;
+    }
+
     HttpResponse textResponse(int status, std::string body)
     {
         HttpResponse response;
@@ -63,6 +75,7 @@
     metrics_.setGauge("limpettrestle_requests_quarantined", "Different requests that are not sent to replicas because they crash them", static_cast<double>(crashLedger_.quarantinedCount()));
     metrics_.setGauge("limpettrestle_quarantined_requests_total", "Requests refused or ended because they crash replicas", static_cast<double>(stats.quarantinedRequests));
     metrics_.setGauge("limpettrestle_replicas_rate_limited", "Replicas that limit their request rate", countRateLimited(state_.directory()));
+    metrics_.setGauge("limpettrestle_zones_evacuated", "Zones whose replicas get no calls because the operator has evacuated them", static_cast<double>(state_.directory().evacuatedZones().size()));
     metrics_.setGauge("limpettrestle_log_lines_dropped_total", "Log lines dropped", static_cast<double>(log_.dropped()));
     metrics_.setGauge("limpettrestle_open_requests", "Requests without an answer", static_cast<double>(dispatcher_->openRequests()));
     return textResponse(200, metrics_.serialize());
@@ -74,7 +87,7 @@
     const nlohmann::json status = { { "name", settings_.name }, { "zone", settings_.zone }, { "ready", isReady() }, { "leaving", isShuttingDown_ },
         { "cut_off", reachability_.isCutOff() }, { "config_version", table ? table->version() : 0 }, { "replicas", state_.directory().size() },
         { "knowledge_age_ms", sourceChoice_->age(clock_.now()).count() }, { "reads_registry", registryClient_->isActive() }, { "registry_calls", registryClient_->calls() },
-        { "instances", lastFleetSize_ }, { "reader", isReader_ }, { "open_requests", dispatcher_->openRequests() } };
+        { "instances", lastFleetSize_ }, { "reader", isReader_ }, { "open_requests", dispatcher_->openRequests() }, { "evacuated_zones", evacuatedZonesJson(state_, clock_) } };
     return textResponse(200, status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
 }
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -57,7 +57,7 @@
     }
     const std::optional<ChangesRequest> changes = decodeTarget(request.target);
     if (!changes) {
-        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&features=BITS&instances=DIGEST&quarantine=DIGEST\n");
+        rejectRequest(exchange, "expected /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&features=BITS&instances=DIGEST&quarantine=DIGEST&facts=DIGEST\n");
         return;
     }
     const TimePoint now = clock_.now();
@@ -233,7 +233,7 @@
     isPositionReset_ = false;
     connectedPeer_ = peer;
     const bool isReading = sourceChoice_.readsRegistry(clock_.now());
-    request_ = { positions_[peer], hold, sourceChoice_.acceptableAge(isReading, clock_.now()), configVersion_, era_, isReader_ ? InstanceInfo {} : self_, instanceDigests_[peer], quarantineDigest_ };
+    request_ = { positions_[peer], hold, sourceChoice_.acceptableAge(isReading, clock_.now()), configVersion_, era_, isReader_ ? InstanceInfo {} : self_, instanceDigests_[peer], quarantineDigest_, factsDigest_ };
     callTimeoutAt_ = clock_.now() + hold + kReplyTimeoutMargin;
     if (connection_ == nullptr)
         connection_ = HttpClientConnection::open(loop_, peers_[peer].host, peers_[peer].port, kConnectTimeout, *this);
@@ -282,8 +282,12 @@
     isCalling_ = false;
     instanceDigests_[connectedPeer_] = reply->instancesDigest;
     const int peer = static_cast<int>(connectedPeer_);
-    if (onReply_(*reply)) {
+    const bool isAccepted = onReply_(*reply);
+    if (isAccepted)
         positions_[connectedPeer_] = isPositionReset_ ? ChangePosition {} : reply->upTo;
+    if (requiresFacts_ && !reply->factsDigest) {
+        sourceChoice_.peerLacksFacts(peer, isAccepted, reply->age, clock_.now());
+    } else if (isAccepted) {
         sourceChoice_.peerAnswered(peer, reply->age, clock_.now());
     } else {
         sourceChoice_.peerAnswerRejected(peer, reply->age, clock_.now());
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -99,6 +99,10 @@
     void setEra(uint64_t era) { era_ = era; }
     /// Digest of the quarantines of this instance, sent with each call.
     void setQuarantineDigest(uint64_t digest) { quarantineDigest_ = digest; }
+    /// Digest of the shared facts of this instance, sent with each call.
+    void setFactsDigest(uint64_t digest) { factsDigest_ = digest; }
+    /// From now on, no reader is relied on whose replies come without shared facts.
+    void requireFacts() { requiresFacts_ = true; }
     void setHandlers(ReplyHandler onReply, FailureHandler onFailure);
     /// Fails a call that has timed out and starts the next call when one is due. Must be called periodically.
     void tick();
@@ -129,6 +133,8 @@
     uint64_t configVersion_ = 0;
     uint64_t era_ = 0;
     uint64_t quarantineDigest_ = 0;
+    uint64_t factsDigest_ = 0;
+    bool requiresFacts_ = false;
     /// Position of the last changes received from each peer.
     std::vector<ChangePosition> positions_;
     /// Digest of the last list of instances received from each peer.
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -181,6 +181,8 @@
         request.acceptableAge.count(), request.configVersion, request.era, request.instancesDigest);
     if (request.quarantineDigest)
         fmt::format_to(std::back_inserter(target), "&quarantine={}", *request.quarantineDigest);
+    if (request.factsDigest)
+        fmt::format_to(std::back_inserter(target), "&facts={}", *request.factsDigest);
     const InstanceInfo& follower = request.follower;
     if (!follower.name.empty())
         fmt::format_to(std::back_inserter(target), "&name={}&zone={}&address={}:{}", follower.name, follower.zone, follower.host, follower.port);
@@ -224,6 +226,8 @@
             isValid &= parseNumber(value, request.instancesDigest);
         } else if (name == "quarantine") {
             isValid &= parseNumber(value, request.quarantineDigest.emplace());
+        } else if (name == "facts") {
+            isValid &= parseNumber(value, request.factsDigest.emplace());
         }
     });
     if (!isValid)
@@ -242,6 +246,10 @@
         root["config"] = encodeConfig(*reply.config);
     if (!reply.quarantines.empty())
         root["quarantines"] = encodeQuarantines(reply.quarantines);
+    if (reply.factsDigest)
+        root["facts_digest"] = *reply.factsDigest;
+    if (!reply.facts.empty())
+        root["facts"] = encodeFacts(reply.facts);
     if (reply.instances)
         root["instances"] = encodeInstances(*reply.instances);
     return root.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -267,6 +275,10 @@
             reply.instances = decodeInstances(root["instances"]);
         if (root.contains("quarantines"))
             reply.quarantines = decodeQuarantines(root["quarantines"]);
+        if (root.contains("facts_digest"))
+            reply.factsDigest = root["facts_digest"].get<uint64_t>();
+        if (root.contains("facts"))
+            reply.facts = decodeFacts(root["facts"]);
         for (const json& entry : root.at("written"))
             reply.written.push_back(decodeEntry(entry));
         reply.removed = root.at("removed").get<std::vector<std::string>>();
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,12 +1,13 @@
 #pragma once
 
 /// Messages between instances. A follower polls a reader for changes by JSON over HTTP on the peer address:
-/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&features=BITS&instances=DIGEST&quarantine=DIGEST`.
+/// `GET /changes?run=R&after=N&hold=MS&age=MS&config=VERSION&era=ERA&name=NAME&zone=ZONE&address=IP:PORT&features=BITS&instances=DIGEST&quarantine=DIGEST&facts=DIGEST`.
 /// Receivers ignore fields that they do not know, and builds differ while instances are replaced, so new fields are optional.
 
 #include "../process/change_log.h"
 #include "../process/instance_directory.h"
 #include "crash_messages.h"
+#include "fact_messages.h"
 
 #include <optional>
 
@@ -33,6 +34,8 @@
     uint64_t instancesDigest = 0;
     /// Digest of the quarantines of the requester; unset when its build does not know quarantines.
     std::optional<uint64_t> quarantineDigest;
+    /// Digest of the shared facts of the requester; unset when its build does not apply them.
+    std::optional<uint64_t> factsDigest;
 };
 
 struct ChangesReply {
@@ -62,6 +65,10 @@
     std::vector<std::string> removed;
     /// Latest quarantines of the sender; empty when the requester has the same ones.
     std::vector<QuarantineEntry> quarantines;
+    /// Digest of the sender's shared facts; unset when the sender has not read them, or the requester does not apply them.
+    std::optional<uint64_t> factsDigest;
+    /// All shared facts of the sender; empty when the requester has the same ones.
+    std::vector<FactEntry> facts;
     /// The active configuration; unset unless it is newer than the requester's.
     std::optional<RoutingDocument> config;
 };
--- a/src/process/change_log.h
+++ b/src/process/change_log.h
@@ -45,6 +45,8 @@
     void replicaWritten(const std::string& id);
     void replicaRemoved(const std::string& id);
     void configChanged();
+    /// Shared facts have changed. They are not part of a change set, but held requests of followers end.
+    void factsChanged() { ++last_; }
     /// Returns the changes after `position`, or a full snapshot when the log does not reach back that far.
     ChangeSet changesAfter(ChangePosition position) const;
     ChangePosition position() const { return { run_, last_ }; }
--- a/src/process/instance_directory.h
+++ b/src/process/instance_directory.h
@@ -29,6 +29,8 @@
     uint32_t features = 0;
 
     bool supports(InstanceFeature feature) const { return (features & static_cast<uint32_t>(feature)) != 0; }
+    /// True when the build understands all of `required`, bits of `InstanceFeature`.
+    bool supportsAll(uint32_t required) const { return (features & required) == required; }
 
     bool operator==(const InstanceInfo&) const = default;
 };
--- a/src/process/replica_directory.cpp
+++ b/src/process/replica_directory.cpp
@@ -45,6 +45,7 @@
     }
     const bool acceptedWork = replica->acceptsWork();
     replica->entry = entry;
+    replica->isEvacuated = evacuatedZones_.contains(entry.zone);
     if (acceptedWork && !replica->acceptsWork())
         onRetire_(replica);
 }
@@ -66,6 +67,21 @@
     return true;
 }
 
+void ReplicaDirectory::setEvacuatedZones(absl::flat_hash_set<std::string> zones)
+{
+    evacuatedZones_ = std::move(zones);
+    std::vector<ReplicaPtr> retired;
+    for (const auto& [id, replica] : byId_) {
+        const bool acceptedWork = replica->acceptsWork();
+        replica->isEvacuated = evacuatedZones_.contains(replica->entry.zone);
+        if (acceptedWork && !replica->acceptsWork())
+            retired.push_back(replica);
+    }
+    // Only now, so that the calls that the handler moves do not go to another replica of the zone.
+    for (const ReplicaPtr& replica : retired)
+        onRetire_(replica);
+}
+
 void ReplicaDirectory::remove(const std::string& id, TimePoint now)
 {
     if (!byId_.contains(id))
@@ -146,6 +162,7 @@
 
 void ReplicaDirectory::insert(const ReplicaPtr& replica)
 {
+    replica->isEvacuated = evacuatedZones_.contains(replica->entry.zone);
     byId_[replica->entry.id] = replica;
     byService_[replica->entry.service].push_back(replica);
 }
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -28,10 +28,12 @@
     bool isRetired = false;
     /// The replica announced in an answer that it leaves.
     bool isLeaving = false;
+    /// The operator has evacuated the zone of the replica.
+    bool isEvacuated = false;
     /// Number of calls that wait for a connection to the replica.
     uint32_t queued = 0;
 
-    bool acceptsWork() const { return isListed && !isRetired && entry.state == ReplicaState::Ready; }
+    bool acceptsWork() const { return isListed && !isRetired && !isEvacuated && entry.state == ReplicaState::Ready; }
 };
 
 using ReplicaPtr = std::shared_ptr<Replica>;
@@ -52,6 +54,9 @@
     void retire(const ReplicaPtr& replica);
     /// Retires a replica that announced in an answer that it leaves. Returns false if this was known.
     bool markLeaving(const ReplicaPtr& replica);
+    /// Sets the zones whose replicas, present and future ones, accept no work because the operator has evacuated them.
+    void setEvacuatedZones(absl::flat_hash_set<std::string> zones);
+    const absl::flat_hash_set<std::string>& evacuatedZones() const { return evacuatedZones_; }
     /// Removes a replica that the registry no longer lists, or defers the removal (see `deferRemovals()`).
     void remove(const std::string& id, TimePoint now);
 
@@ -86,6 +91,7 @@
     void forgetDeparted(TimePoint now);
 
     RetireHandler onRetire_;
+    absl::flat_hash_set<std::string> evacuatedZones_;
     absl::flat_hash_map<std::string, ReplicaPtr> byId_;
     absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> byService_;
     TimePoint deferUntil_ {};
--- a/src/process/source_choice.cpp
+++ b/src/process/source_choice.cpp
@@ -83,6 +83,14 @@
     rejected.skipUntil = now + kSkipTime;
 }
 
+void SourceChoice::peerLacksFacts(int peer, bool isAccepted, Millis age, TimePoint now)
+{
+    if (isAccepted)
+        stateReadAt_ = std::max(stateReadAt_, now - age);
+    const bool hasState = stateReadAt_ != TimePoint {};
+    peers_[static_cast<size_t>(peer)].avoidUntil = now + (hasState ? kAvoidTime : kStartupAvoidTime);
+}
+
 void SourceChoice::peerFailed(int peer, TimePoint now)
 {
     peers_[static_cast<size_t>(peer)].avoidUntil = now + (isStarting(now) ? kStartupAvoidTime : kAvoidTime);
--- a/src/process/source_choice.h
+++ b/src/process/source_choice.h
@@ -23,6 +23,9 @@
     void peerAnswered(int peer, Millis age, TimePoint now);
     /// Records an answer of a reader whose replicas were not accepted.
     void peerAnswerRejected(int peer, Millis age, TimePoint now);
+    /// Records an answer of a reader that sends no shared facts, which is not relied on for a while: other readers or the
+    /// registry are read instead. `isAccepted`: its replicas were accepted.
+    void peerLacksFacts(int peer, bool isAccepted, Millis age, TimePoint now);
     /// Records that a reader did not answer.
     void peerFailed(int peer, TimePoint now);
     /// Records the result of a call to the registry.
--- a/src/process/zone_reach.cpp
+++ b/src/process/zone_reach.cpp
@@ -37,11 +37,16 @@
 void ZoneReach::update(const ReplicaDirectory& directory, TimePoint now)
 {
     absl::flat_hash_map<std::string, ZoneState> zones;
+    // A zone without calls is neither reachable nor unreachable.
     for (const auto& [id, replica] : directory.all()) {
+        if (replica->isEvacuated)
+            continue;
         ZoneState& state = zones[replica->entry.zone];
         state.lastAnswerAt = std::max({ state.lastAnswerAt, replica->health.lastAnswer(), replica->health.lastConnected() });
     }
     for (const auto& [id, replica] : directory.all()) {
+        if (replica->isEvacuated)
+            continue;
         ZoneState& state = zones[replica->entry.zone];
         state.failedReplicas += hasFailedSince(*replica, state.lastAnswerAt) ? 1 : 0;
     }
@@ -78,6 +83,8 @@
 {
     absl::flat_hash_map<std::string, TimePoint> lastAnswers;
     for (const auto& [id, replica] : directory.all()) {
+        if (replica->isEvacuated)
+            continue;
         TimePoint& lastAnswerAt = lastAnswers[replica->entry.zone];
         lastAnswerAt = std::max(lastAnswerAt, replica->health.lastAnswer());
     }
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -237,6 +237,8 @@
 
     /// Sets the instances to which requests may be relayed.
     void setInstances(std::vector<InstanceInfo> instances) { relayChoice_.setInstances(std::move(instances)); }
+    /// Sets the bits of `InstanceFeature` that an instance must have to get relayed requests.
+    void requireFeatures(uint32_t features) { relayChoice_.requireFeatures(features); }
     /// Starts a request that another instance relayed. It is declined if this instance cannot reach the replicas either.
     void startRelayed(uint64_t request, RelayRequest relayed);
     void relayAnswered(uint64_t relay, RelayReply reply);
@@ -305,6 +307,7 @@
     void withdrawUnsentCalls(const ReplicaPtr& replica);
     void withdrawUnsentCalls(OpenRequest& openRequest);
     ResultCode unavailableReason(const std::string& service) const;
+    ResultCode outOfReachReason(const std::string& service) const;
     Millis timeToNextCall(const std::string& service) const;
     Millis retryAfterFailure(const OpenRequest& openRequest) const;
     void addAnnouncements(const OpenRequest& openRequest, RouteAnswer& answer) const;
--- a/src/request/dispatcher_announcements.cpp
+++ b/src/request/dispatcher_announcements.cpp
@@ -94,7 +94,17 @@
     const bool isShed = std::any_of(replicas.begin(), replicas.end(), [now](const ReplicaPtr& replica) {
         return replica->acceptsWork() && (replica->health.isBackingOff(now) || !replica->rate.mayCall(now));
     });
-    return isShed ? ResultCode::ServerShed : ResultCode::NoReplicaReachable;
+    return isShed ? ResultCode::ServerShed : outOfReachReason(service);
+}
+
+/// Returns why no replica of a service can be called. Other instances can call one that is out of reach here, but none that is
+/// evacuated.
+ResultCode Dispatcher::outOfReachReason(const std::string& service) const
+{
+    const std::vector<ReplicaPtr>& replicas = init_.directory->replicasOf(service);
+    const bool hasUsable = std::any_of(replicas.begin(), replicas.end(), [](const ReplicaPtr& replica) { return replica->acceptsWork(); });
+    const bool hasEvacuated = std::any_of(replicas.begin(), replicas.end(), [](const ReplicaPtr& replica) { return replica->isEvacuated; });
+    return !hasUsable && hasEvacuated ? ResultCode::ReplicasEvacuated : ResultCode::NoReplicaReachable;
 }
 
 /// Returns the time until a replica of the service takes requests of this instance again; zero when one does now, the
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -285,9 +285,10 @@
 {
     const TimePoint now = clock_.now();
     ++stats_.callsLost;
-    if (failure == CallFailure::NotSent)
+    // Queued calls of a replica that accepts no more work fail as not sent, which says nothing about its health.
+    if (failure == CallFailure::NotSent && call.replica->acceptsWork())
         call.replica->health.connectFailed(now);
-    else
+    if (failure != CallFailure::NotSent)
         call.replica->health.callEnded(call.id, now, CallEnd::Failed);
     if (failure == CallFailure::Lost)
         noteLostCall(call);
@@ -298,7 +299,10 @@
     std::erase(openRequest.parts[call.part].calls, call.id);
     switch (failure) {
     case CallFailure::NotSent:
-        retryOrFail(openRequest, call.part, ResultCode::ConnectFailed, "connect_failed");
+        if (call.replica->isEvacuated)
+            retryOrFail(openRequest, call.part, outOfReachReason(call.replica->entry.service), "evacuated");
+        else
+            retryOrFail(openRequest, call.part, ResultCode::ConnectFailed, "connect_failed");
         break;
     case CallFailure::Lost:
         retryOrFail(openRequest, call.part, ResultCode::ConnectionLost, "lost");
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -36,7 +36,7 @@
     if (openRequest.pending() - unreachable.size() >= openRequest.requiredParts())
         return;
     for (const size_t partIndex : unreachable)
-        markMissing(openRequest, openRequest.parts[partIndex], ResultCode::NoReplicaReachable);
+        markMissing(openRequest, openRequest.parts[partIndex], outOfReachReason(*openRequest.parts[partIndex].service));
 }
 
 void Dispatcher::launchGroup(OpenRequest& openRequest, const GatherGroup& plannedGroup)
--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -104,7 +104,7 @@
     const InstanceInfo* best = nullptr;
     double bestExpectedTime = 0;
     for (const InstanceInfo* candidate : aggregatorCandidates(key)) {
-        if (candidate->name == init_.self)
+        if (candidate->name == init_.self || !candidate->supportsAll(requiredFeatures_))
             continue;
         const auto found = aggregatorStates_.find(candidate->name);
         const AggregatorState state = found == aggregatorStates_.end() ? AggregatorState {} : found->second;
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -33,6 +33,8 @@
     bool setInstances(std::vector<InstanceInfo> instances);
     /// Sets the number of instances in all zones.
     void setFleetSize(uint32_t instances) { fleetSize_ = instances; }
+    /// Sets the bits of `InstanceFeature` that an instance must have to get groups.
+    void requireFeatures(uint32_t features) { requiredFeatures_ = features; }
     /// Applies the routes of a new configuration.
     void setTable(const RouteTable& table);
 
@@ -83,6 +85,7 @@
     const GatherPlanInit init_;
     std::vector<InstanceInfo> instances_;
     uint32_t fleetSize_ = 0;
+    uint32_t requiredFeatures_ = 0;
     /// Routes of the active configuration that have shards.
     std::vector<RouteSpec> routes_;
     absl::flat_hash_map<std::string, AggregatorState> aggregatorStates_;
--- a/src/request/relay_choice.cpp
+++ b/src/request/relay_choice.cpp
@@ -33,7 +33,7 @@
 
 int RelayChoice::rankOf(const InstanceInfo& instance, std::span<const std::string> tried, TimePoint now) const
 {
-    if (std::find(tried.begin(), tried.end(), instance.name) != tried.end())
+    if (!instance.supportsAll(requiredFeatures_) || std::find(tried.begin(), tried.end(), instance.name) != tried.end())
         return -1;
     const auto state = states_.find(instance.name);
     const bool isKnown = state != states_.end();
--- a/src/request/relay_choice.h
+++ b/src/request/relay_choice.h
@@ -27,6 +27,8 @@
 
     /// Sets the instances that may be chosen; this instance is left out.
     void setInstances(std::vector<InstanceInfo> instances);
+    /// Sets the bits of `InstanceFeature` that an instance must have to be chosen.
+    void requireFeatures(uint32_t features) { requiredFeatures_ = features; }
     /// Returns the instance to use; null if none is left. Instances of the own zone come first, unless one of them has
     /// just declined. Another zone is left out for a while after one of its instances could not be reached, unless others of
     /// it have answered. `tried`: names of instances that may not be chosen.
@@ -49,6 +51,7 @@
     const std::string zone_;
     std::mt19937_64 random_;
     std::vector<InstanceInfo> instances_;
+    uint32_t requiredFeatures_ = 0;
     /// Instances that have been used, by name.
     absl::flat_hash_map<std::string, InstanceState> states_;
     struct ZoneState {
