--- a/tests/evacuated_replicas_test.cpp
+++ b/tests/evacuated_replicas_test.cpp
@@ -1,6 +1,7 @@
 /// Replicas of an evacuated zone get nothing new, on whatever path, and the evacuation counts as no cut.
 
 #include "../src/gateway/replica_links.h"
+#include "../src/net/http_server.h"
 #include "../src/process/reachability.h"
 #include "support/gather_bed.h"
 #include "support/raw_peer.h"
@@ -206,7 +207,7 @@
         instances[i].features = kSharedFacts;
     test.plan.setInstances(instances);
     test.plan.requireFeatures(kSharedFacts);
-    test.bed.startDividedSearch(1);
+    test.startDividedSearch(1);
     size_t gathered = 0;
     for (const TestGroupTransport::SentGroup& group : test.groups.sent) {
         CHECK((group.aggregator.back() - '0') % 2 == 0);
@@ -217,11 +218,11 @@
     test.plan.setInstances(zoneOfEight());
     const size_t groups = test.groups.sent.size();
     const size_t calls = test.bed.transport.calls.size();
-    test.bed.startDividedSearch(2);
+    test.startDividedSearch(2);
     CHECK(test.groups.sent.size() == groups);
     CHECK(test.bed.transport.calls.size() == calls + kShards);
     test.plan.requireFeatures(0);
-    test.bed.startDividedSearch(3);
+    test.startDividedSearch(3);
     CHECK(test.groups.sent.size() > groups);
 }
 
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -1,6 +1,6 @@
 /// Evacuated zones: how an instance learns of an evacuation from the registry and from readers, and when it is over.
 
-#include "../src/gateway/gateway_settings.h"
+#include "../src/process/source_choice.h"
 #include "support/state_bed.h"
 
 #include <absl/strings/escaping.h>
@@ -277,7 +277,9 @@
     // A reader of this build is followed again.
     sources.peerAnswered(1, Millis(100), start + Millis(400));
     CHECK_FALSE(sources.readsRegistry(start + Millis(400)));
-    CHECK(sources.peer(start + Millis(400)) == 1);
+    sources.peerLacksFacts(0, true, Millis(0), start + Millis(500));
+    CHECK(sources.peer(start + Millis(500)) == 1);
+    CHECK(sources.peer(start + Millis(2500)) == 1);
 }
 
 TEST_CASE("a state from a reader without facts is used while the registry is away, and does not count as recent")
--- a/tests/gateway_failures_test.py
+++ b/tests/gateway_failures_test.py
@@ -5,14 +5,17 @@
 """
 
 import http.client
+import json
 import signal
 import socket
 import sys
 import threading
 import time
+from http.server import BaseHTTPRequestHandler
 
 import gateway_process_test as base
 from gateway_process_test import HOST, Gateway, require, wait_for
+from registry_platform import Server
 
 
 def card_replicas(cluster):
@@ -175,8 +178,90 @@
     require(cluster.gateways[0].request("/all/q", "after")[2] == whole, "does not recover")
 
 
+def evacuated_zones(gateway):
+    return {entry["zone"] for entry in json.loads(Gateway.get(gateway.metrics, "/status")[2])["evacuated_zones"]}
+
+
+def evacuated_zone_gets_nothing(cluster):
+    """Nothing reaches the replicas of an evacuated zone, also from an instance that is started while the store is away."""
+    elsewhere = base.Replica(cluster.store, "card", 9, zone="z2")
+    cluster.replicas.append(elsewhere)
+    for gateway in cluster.gateways:
+        wait_for(lambda g=gateway: json.loads(Gateway.get(g.metrics, "/status")[2])["replicas"] == len(cluster.replicas), "the added replica is not listed")
+    cluster.store.write("op/evacuate/z1", b"\xff no JSON")
+    for gateway in cluster.gateways:
+        wait_for(lambda g=gateway: evacuated_zones(g) == {"z1"}, "the evacuation is not in force within the reaction time", 1)
+    time.sleep(0.3)
+    inside = [replica for replica in cluster.replicas if replica is not elsewhere]
+    before = [len(replica.runs) for replica in inside]
+
+    def require_nothing_inside(word):
+        for number, gateway in enumerate(cluster.gateways):
+            status, headers, _ = gateway.request("/all/q", f"{word}-{number}")
+            require(status == 503 and "Retry-After" in headers, f"{word}: a search without replicas is answered with {status} {headers}")
+            require(gateway.request("/card/x", f"{word}-c{number}", "POST", b"x")[0] == 200, f"{word}: the replica of the other zone is not used")
+            require(gateway.is_ready(), f"{word}: not ready during an evacuation")
+        require([len(replica.runs) for replica in inside] == before, f"{word}: replicas of the evacuated zone got requests")
+
+    require_nothing_inside("all")
+    cluster.store.fault = 503
+    restarted = cluster.gateways[2]
+    restarted.process.kill()
+    restarted.process.wait()
+    restarted.start()
+    wait_for(restarted.is_ready, "a gateway started without the store does not get its state from a reader", 5)
+    require_nothing_inside("store_away")
+    cluster.store.fault = None
+    require(b"limpettrestle_zones_evacuated 1" in Gateway.get(restarted.metrics, "/metrics")[2], "the metric does not show the evacuated zone")
+    wait_for(lambda: cluster.gateways[0].lines("dependency_regained"), "the recovery of the store is not logged")
+    cluster.store.remove("op/evacuate/z1")
+    for gateway in cluster.gateways:
+        wait_for(lambda g=gateway: not evacuated_zones(g), "the end of the evacuation is not in force", 2)
+        wait_for(lambda g=gateway: g.request("/all/q", "back")[0] == 200, "the replicas are not used again", 3)
+        wait_for(lambda g=gateway: g.lines("zone_evacuated") and g.lines("zone_restored"), "the evacuation is not logged", 2)
+
+
+def reader_of_an_earlier_build_is_not_relied_on(cluster):
+    """A reader of a build that does not send shared facts: an instance reads the store itself, and without the store it takes no callers."""
+    entries = [[replica.id, replica.service, HOST, replica.server.port, replica.zone, 2, 0, 0, replica.born, 1] for replica in cluster.replicas]
+    polls = []
+
+    class EarlierReader(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *_):
+            pass
+
+        def do_GET(self):
+            polls.append(self.path)
+            body = json.dumps({"run": 7, "number": 1, "whole": True, "replicas": True, "era": 0, "age_ms": 10, "sender": "old", "following": 1, "fleet": 4,
+                               "instances_digest": 9, "written": entries, "removed": []}).encode()
+            self.send_response(200)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+    reader = Server(EarlierReader)
+    cluster.ports.append(base.free_ports(4))
+    cluster.store.fault = 503
+    follower = Gateway(cluster, 3, [f"{HOST}:{reader.port}"], 1.0)
+    cluster.gateways.append(follower)
+    wait_for(lambda: len(polls) >= 3, "the reader is not asked")
+    time.sleep(1.0)
+    require(not follower.is_ready(), "ready without having read which zones are evacuated")
+    require(follower.request("/all/q", "no-facts")[0] == 503, "calls replicas without having read which zones are evacuated")
+    cluster.store.write("op/evacuate/z1", b"{}")
+    cluster.store.fault = None
+    wait_for(lambda: evacuated_zones(follower) == {"z1"}, "does not read the store itself", 3)
+    wait_for(follower.is_ready, "not ready after it has read the store", 3)
+    cluster.store.remove("op/evacuate/z1")
+    wait_for(lambda: follower.request("/all/q", "facts")[0] == 200, "does not go on reading the store itself", 3)
+    reader.close()
+
+
 base.TESTS = [late_copies_reach_nobody, late_refusal_is_no_answer_to_the_repeat, stop_answers_what_was_accepted, restart_does_not_bring_back_what_left,
-              malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success]
+              malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success, evacuated_zone_gets_nothing,
+              reader_of_an_earlier_build_is_not_relied_on]
 
 if __name__ == "__main__":
     sys.exit(base.main())
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -74,7 +74,7 @@
         self.log = os.path.join(cluster.folder, f"gateway-{number}.log")
         settings = {"name": f"n{number}", "zone": "z1", "caller": f"{HOST}:{self.caller}", "readiness": f"{HOST}:{self.ready}",
                     "peer": f"{HOST}:{self.peer}", "metrics": f"{HOST}:{self.metrics}", "seeds": seeds,
-                    "registry": {"address": f"{HOST}:{cluster.store.server.port}"}, "reaction": {"drain_ms": 1000, "config_ms": 1000},
+                    "registry": {"address": f"{HOST}:{cluster.store.server.port}"}, "reaction": {"drain_ms": 1000, "config_ms": 1000, "evacuation_ms": 1000},
                     "repeats": {"ratio": 0.2, "slack": 60}, "shutdown": {"grace_ms": 6000}, "processor_share": processor_share}
         with open(self.file, "w", encoding="utf-8") as out:
             json.dump(settings, out)
