--- a/src/process/instance_directory.h
+++ b/src/process/instance_directory.h
@@ -29,7 +29,7 @@
     uint32_t features = 0;
 
     bool supports(InstanceFeature feature) const { return (features & static_cast<uint32_t>(feature)) != 0; }
-    /// `required`: bits of `InstanceFeature`.
+    /// True when the build understands all of `required`, bits of `InstanceFeature`.
     bool supportsAll(uint32_t required) const { return (features & required) == required; }
 
     bool operator==(const InstanceInfo&) const = default;
