--- a/tests/gateway_failures_test.py
+++ b/tests/gateway_failures_test.py
@@ -205,6 +205,8 @@
 
     require_nothing_inside("all")
     cluster.store.fault = 503
+    for reader in cluster.gateways[:2]:
+        wait_for(lambda r=reader: any("name=registry" in line for line in r.lines("dependency_lost")), "the loss of the store is not noticed", 5)
     restarted = cluster.gateways[2]
     restarted.process.kill()
     restarted.process.wait()
