Calls to cold replicas are limited over all instances

Cause: a replica that has just started, or is cold again, accepts a few requests a second and crashes well above. Every instance treated it as a replica that is half as slow again, so that a zone that came back cold got the usual load at once. The warm-up was recorded only when a replica was added, and followers got no later one.

Ruled out: a share of the rate for each instance (with 300 instances and a bound of 11 a call a minute each), several owners for a replica (each adds a call a second to the bound), owners in all zones (the lists of other zones are incomplete).

One instance of the replica's zone calls it, at regular intervals without stored slots, and only where no warm replica can be used. Reports and replies prolong and end a warm-up; followers get those that change it.

An instance is an owner now only if the others list it.

--- a/src/connection/rate_share.cpp
+++ b/src/connection/rate_share.cpp
@@ -37,7 +37,26 @@
     return hasChanged;
 }
 
-TimePoint RateShare::nextCallAt(TimePoint now) const
+void RateShare::restrict(std::optional<Micros> interval, TimePoint until, TimePoint now)
+{
+    const bool continues = isRestricted(now) && interval == callInterval_;
+    restrictedUntil_ = until;
+    callInterval_ = interval;
+    if (interval && !continues)
+        nextRestrictedCall_ = now + *interval;
+}
+
+TimePoint RateShare::nextUnrestrictedAt(TimePoint now) const
+{
+    if (!isRestricted(now))
+        return now;
+    if (!callInterval_)
+        return restrictedUntil_;
+    const TimePoint next = unsentCalls_ == 0 ? nextRestrictedCall_ : std::max(nextRestrictedCall_, now + *callInterval_);
+    return std::min(next, restrictedUntil_);
+}
+
+TimePoint RateShare::nextSlotAt(TimePoint now) const
 {
     if (!limit_)
         return now;
@@ -53,7 +72,17 @@
 void RateShare::callStarted(TimePoint now)
 {
     if (limit_ && interval_ != Micros::zero())
-        nextSlot_ = nextCallAt(now) + interval_;
+        nextSlot_ = nextSlotAt(now) + interval_;
+    if (isRestricted(now) && callInterval_)
+        nextRestrictedCall_ = now + *callInterval_;
+    ++unsentCalls_;
+}
+
+void RateShare::callSent(TimePoint now)
+{
+    callWithdrawn();
+    if (isRestricted(now) && callInterval_)
+        nextRestrictedCall_ = now + *callInterval_;
 }
 
 } // namespace limpettrestle
--- a/src/connection/replica_choice.cpp
+++ b/src/connection/replica_choice.cpp
@@ -23,13 +23,23 @@
         return std::any_of(candidates.begin(), candidates.end(), [](const ReplicaPtr& replica) { return replica->acceptsWork() && !replica->rate.isLimited(); });
     }
 
+    /// True if a replica that is not restricted can take the call, or may get a repeat later.
+    bool hasWarmReplica(const ChoiceQuery& query, TimePoint now)
+    {
+        return std::any_of(query.candidates.begin(), query.candidates.end(), [&](const ReplicaPtr& replica) {
+            if (replica->rate.isRestricted(now) || !replica->acceptsWork() || replica->health.isBackingOff(now) || !replica->rate.mayCall(now))
+                return false;
+            return query.isRepeat || (!replica->health.isAvoided(now) && !replica->health.isUnresponsive(now));
+        });
+    }
+
     double expectedTime(const Replica& replica, const ChoiceQuery& query, TimePoint now)
     {
         const double slots = std::max<uint32_t>(replica.entry.slots, 1);
         const double waitRatio = std::max(0.0, replica.health.backlog(now) + replica.queued + 1 - slots) / slots;
         const double relativeTime = replica.health.latencyRatio(now) * (1.0 + waitRatio) + replica.health.lossRate(now) * query.lossCost;
         double time = relativeTime * static_cast<double>(query.expected.count());
-        if (now < replica.warmupUntil)
+        if (replica.warmup.isCold(now))
             time *= kWarmupPenalty;
         if (replica.entry.zone != query.zone)
             time *= kCrossZonePenalty;
@@ -40,6 +50,7 @@
 
 ReplicaPtr chooseReplica(const ChoiceQuery& query, TimePoint now)
 {
+    const bool mayUseRestricted = query.scope == ChoiceScope::First && !hasWarmReplica(query, now);
     ReplicaPtr best;
     // Fallback when no other replica qualifies: one that is unresponsive, or that failed once a moment ago.
     ReplicaPtr fallback;
@@ -50,6 +61,8 @@
             continue;
         if (replica->rate.isLimited() && (!mayUseLimited || !replica->rate.mayCall(now)))
             continue;
+        if (replica->rate.isRestricted(now) && (!mayUseRestricted || !replica->rate.mayCall(now)))
+            continue;
         const bool isAvoided = replica->health.isAvoided(now);
         if (isAvoided || replica->health.isUnresponsive(now)) {
             const bool isUsable = !isAvoided || replica->health.hasAtMostOneFault();
--- a/src/connection/replica_choice.h
+++ b/src/connection/replica_choice.h
@@ -28,9 +28,12 @@
     double lossCost = 0;
     /// Replicas that may not be chosen.
     std::span<const ReplicaPtr> excluded;
+    /// A call for the same part has been sent before.
+    bool isRepeat = false;
 };
 
-/// Returns null when no replica qualifies.
+/// Returns null when no replica qualifies. A cold replica with a limited rate is chosen only where no warm one can take the
+/// call, and never for a repeat that a warm one may get later.
 ReplicaPtr chooseReplica(const ChoiceQuery& query, TimePoint now);
 
 } // namespace limpettrestle
--- a/src/connection/replica_subset.cpp
+++ b/src/connection/replica_subset.cpp
@@ -35,7 +35,9 @@
         if (replica->acceptsWork() && !replica->health.isUnreachable() && !replica->health.isBackingOff(now))
             used.push_back(replica);
     }
-    std::sort(used.begin(), used.end(), [&rule](const ReplicaPtr& a, const ReplicaPtr& b) {
+    std::sort(used.begin(), used.end(), [&rule, now](const ReplicaPtr& a, const ReplicaPtr& b) {
+        if (a->rate.isRestricted(now) != b->rate.isRestricted(now))
+            return b->rate.isRestricted(now);
         if (a->rate.isLimited() != b->rate.isLimited())
             return b->rate.isLimited();
         const bool isLocalA = a->entry.zone == rule.zone;
--- a/src/connection/replica_subset.h
+++ b/src/connection/replica_subset.h
@@ -19,7 +19,7 @@
 size_t connectionShare(uint32_t maxConnections, uint32_t instances);
 /// Returns the replicas of `all` that the instance uses: all of them when there are enough connections or no
 /// limit (`maxConnections` is 0). Replicas that accept no work or are unreachable are replaced by the next in rank,
-/// and so are those that limit their request rate if others are left.
+/// and so are those that are cold with a limited rate or limit their request rate if others are left.
 std::vector<ReplicaPtr> selectReplicaSubset(const std::vector<ReplicaPtr>& all, uint32_t maxConnections, const SubsetRule& rule, TimePoint now);
 
 } // namespace limpettrestle
--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -84,16 +84,16 @@
 {
     const ReplicaPtr before = directory_.find(entry.id);
     const ReplicaState previousState = before ? before->entry.state : ReplicaState::Ready;
-    directory_.apply(entry, clock_.now());
+    const bool hasWarmupChanged = directory_.apply(entry, clock_.now());
     const ReplicaPtr after = directory_.find(entry.id);
     if (!after) {
         log_.info("event=replica id={} service={} state=not_readmitted born={} seq={}", entry.id, entry.service, entry.startedAt, entry.sequence);
         return;
     }
-    if (before == after && after->entry.state == previousState)
-        return;
-    changes_.replicaWritten(entry.id);
-    if (isComplete_)
+    const bool isSameState = before == after && after->entry.state == previousState;
+    if (!isSameState || hasWarmupChanged)
+        changes_.replicaWritten(entry.id);
+    if (isComplete_ && !isSameState)
         log_.info("event=replica id={} service={} state={} born={} seq={}", entry.id, entry.service, name(entry.state), entry.startedAt, entry.sequence);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -94,7 +94,10 @@
     init.seed = settings_.seed != 0 ? settings_.seed : std::random_device {}();
     init.repeatRatio = settings_.repeatRatio * kRepeatRatioShare;
     init.repeatSlack = settings_.repeatSlack;
+    init.coldExcess = settings_.coldExcess;
+    init.coldSlack = settings_.coldSlack;
     dispatcher_ = std::make_unique<Dispatcher>(init);
+    state_.directory().setColdHandler([this](const ReplicaPtr& replica) { dispatcher_->replicaTurnedCold(replica); });
     replicaLinks_->setDispatcher(*dispatcher_);
     instanceLinks_->setDispatcher(*dispatcher_);
     crashExchange_ = std::make_unique<CrashExchange>(CrashExchangeInit { &clock_, instanceInfo(), &crashLedger_, &instances_, instanceLinks_.get(), settings_.seeds });
@@ -207,6 +210,7 @@
     chooseSource();
     updateFleetSize();
     updateInstances();
+    updateColdReplicas();
     callerServer_->checkTimeouts();
     peerServer_->answerHeldRequests();
     peerServer_->checkTimeouts();
@@ -236,6 +240,8 @@
     std::vector<InstanceInfo> all = instances_.all(clock_.now());
     std::vector<InstanceInfo> instances;
     std::copy_if(all.begin(), all.end(), std::back_inserter(instances), [this](const InstanceInfo& instance) { return instance.zone == settings_.zone; });
+    if (isInTouch())
+        dispatcher_->setCurrentInstances(all);
     dispatcher_->setInstances(std::move(all));
     const size_t count = instances.size();
     if (plan_->setInstances(std::move(instances)))
@@ -558,8 +564,12 @@
     if (reply.instancesDigest != request.instancesDigest)
         reply.instances = std::move(instances);
     for (const std::string& id : changes.written) {
-        if (const ReplicaPtr replica = state_.directory().find(id))
-            reply.written.push_back(replica->entry);
+        const ReplicaPtr replica = state_.directory().find(id);
+        if (!replica)
+            continue;
+        reply.written.push_back(replica->entry);
+        // The report may be old.
+        reply.written.back().warmupLeft = std::max(Millis(0), std::chrono::ceil<Millis>(replica->warmup.reportedUntil() - now));
     }
     reply.removed = changes.removed;
     if (request.quarantineDigest && *request.quarantineDigest != crashLedger_.digest())
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 /// One gateway process: an event loop that connects callers, the dispatcher, replicas, peers and the registry.
 
 #include "../net/http_server.h"
+#include "../process/cold_replicas.h"
 #include "../process/reachability.h"
 #include "cluster_state.h"
 #include "crash_exchange.h"
@@ -50,6 +51,10 @@
     void onRequestCleared(RequestFingerprint request) override;
     void onRequestQuarantined(RequestFingerprint request) override;
     void onCrashNotice(const CrashNotice& notice) override;
+    /// True if the cluster state is recent and the other instances list this one.
+    bool isInTouch() const;
+    /// Applies the limits on calls to cold replicas and logs which replicas have become cold or warm.
+    void updateColdReplicas();
     /// Looks for crashes that show late, and ends quarantines whose time is over.
     void updateQuarantines();
     /// Applies the quarantines in a reader's reply.
@@ -128,6 +133,7 @@
     TimePoint lastMaintenanceAt_ {};
     ZoneReach reach_;
     Reachability reachability_;
+    ColdReplicaMonitor coldReplicas_;
     bool isShuttingDown_ = false;
     /// The process exits at the earliest when the load balancer has noticed, at the latest when the grace period ends.
     TimePoint earliestExitAt_ {};
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -63,6 +63,7 @@
     metrics_.setGauge("limpettrestle_requests_quarantined", "Different requests that are not sent to replicas because they crash them", static_cast<double>(crashLedger_.quarantinedCount()));
     metrics_.setGauge("limpettrestle_quarantined_requests_total", "Requests refused or ended because they crash replicas", static_cast<double>(stats.quarantinedRequests));
     metrics_.setGauge("limpettrestle_replicas_rate_limited", "Replicas that limit their request rate", countRateLimited(state_.directory()));
+    metrics_.setGauge("limpettrestle_replicas_cold", "Replicas that are cold", static_cast<double>(coldReplicas_.count()));
     metrics_.setGauge("limpettrestle_log_lines_dropped_total", "Log lines dropped", static_cast<double>(log_.dropped()));
     metrics_.setGauge("limpettrestle_open_requests", "Requests without an answer", static_cast<double>(dispatcher_->openRequests()));
     return textResponse(200, metrics_.serialize());
--- a/src/gateway/gateway_replica_events.cpp
+++ b/src/gateway/gateway_replica_events.cpp
@@ -11,6 +11,8 @@
 
     /// Limit on the reports of a notice that are logged.
     constexpr size_t kMaxLoggedReports = 8;
+    /// With an older cluster state, an instance calls no cold replicas: another one may have taken its place.
+    constexpr Millis kMaxColdStateAge { 4000 };
 
 } // namespace
 
@@ -29,6 +31,30 @@
     log_.logger().info("event=replica_rate_limit id={} service={} limited={} per_second={} sharers={}", replica.entry.id, replica.entry.service, replica.rate.isLimited(), replica.rate.limit(), sharers);
 }
 
+bool Gateway::isInTouch() const
+{
+    // A reader appears on the lists of others as soon as it has followers.
+    const bool isListed = isReader_ || instances_.isReported(settings_.name, clock_.now());
+    return isListed && state_.isComplete() && stateAge() <= kMaxColdStateAge;
+}
+
+void Gateway::updateColdReplicas()
+{
+    const TimePoint now = clock_.now();
+    dispatcher_->updateColdReplicas();
+    const ColdReplicaMonitor::Changes changes = coldReplicas_.update(state_.directory(), now);
+    for (const ReplicaPtr& replica : changes.begun) {
+        if (!dispatcher_->hasColdLimit(replica->entry.service))
+            continue;
+        const Millis left = std::chrono::duration_cast<Millis>(replica->warmup.until() - now);
+        log_.logger().info("event=replica_cold id={} service={} born={} source={} left_ms={}", replica->entry.id, replica->entry.service, replica->entry.startedAt, replica->warmup.source(), left.count());
+    }
+    for (const ReplicaPtr& replica : changes.ended) {
+        if (dispatcher_->hasColdLimit(replica->entry.service))
+            log_.logger().info("event=replica_warm id={} service={} born={}", replica->entry.id, replica->entry.service, replica->entry.startedAt);
+    }
+}
+
 void Gateway::onCallLost(const Replica& replica, const ForwardedRequest& request)
 {
     log_.logger().info("event=call_lost id={} replica={} born={} fingerprint={:016x} target={}", request.requestId, replica.entry.id, replica.entry.startedAt, request.fingerprint.value, request.target);
--- a/src/process/instance_directory.cpp
+++ b/src/process/instance_directory.cpp
@@ -43,6 +43,15 @@
         found->second.recordedAt = now;
 }
 
+bool InstanceDirectory::isReported(std::string_view name, TimePoint now) const
+{
+    return std::any_of(reports_.begin(), reports_.end(), [name, now](const auto& entry) {
+        const std::vector<InstanceInfo>& listed = entry.second.instances;
+        const bool isListed = std::any_of(listed.begin(), listed.end(), [name](const InstanceInfo& instance) { return instance.name == name; });
+        return isListed && now - entry.second.recordedAt <= kReportTtl;
+    });
+}
+
 std::vector<InstanceInfo> InstanceDirectory::followers(TimePoint now) const
 {
     std::vector<InstanceInfo> instances;
--- a/src/process/instance_directory.h
+++ b/src/process/instance_directory.h
@@ -42,6 +42,8 @@
     /// Extends the validity of the reader's last report.
     void renewReport(const std::string& reader, TimePoint now);
 
+    /// True if the valid report of a reader lists the instance.
+    bool isReported(std::string_view name, TimePoint now) const;
     /// Returns the instances recorded with `recordInstance()` recently, sorted by name.
     std::vector<InstanceInfo> followers(TimePoint now) const;
     /// Returns all known instances of a zone, sorted by name.
--- a/src/process/replica_directory.cpp
+++ b/src/process/replica_directory.cpp
@@ -26,27 +26,59 @@
 
 } // namespace
 
-void ReplicaDirectory::apply(const ReplicaEntry& entry, TimePoint now)
+bool ReplicaDirectory::apply(const ReplicaEntry& entry, TimePoint now)
 {
     deferred_.erase(entry.id);
     const auto found = byId_.find(entry.id);
     if (found == byId_.end()) {
         readmit(entry, now);
-        return;
+        return false;
     }
     const ReplicaPtr replica = found->second;
     if (isOlder(entry, replica->entry))
-        return;
+        return false;
     if (!isSameRun(entry, replica->entry)) {
         drop(entry.id, now);
         departed_.erase(entry.id);
         add(entry, now);
-        return;
+        return false;
     }
     const bool acceptedWork = replica->acceptsWork();
+    const bool isNewer = isOlder(replica->entry, entry);
     replica->entry = entry;
     if (acceptedWork && !replica->acceptsWork())
         onRetire_(replica);
+    return isNewer && recordWarmup(replica, now);
+}
+
+/// Records the remaining warm-up time of a new report.
+bool ReplicaDirectory::recordWarmup(const ReplicaPtr& replica, TimePoint now)
+{
+    const TimePoint before = replica->warmup.until();
+    const bool mustBePassedOn = replica->warmup.recordReport(replica->entry.warmupLeft, now);
+    notifyIfProlonged(replica, before, now);
+    return mustBePassedOn;
+}
+
+void ReplicaDirectory::noteReply(const ReplicaPtr& replica, Millis warmupLeft, TimePoint now)
+{
+    const TimePoint before = replica->warmup.until();
+    replica->warmup.recordReply(warmupLeft, now);
+    notifyIfProlonged(replica, before, now);
+}
+
+void ReplicaDirectory::noteObservedWarmup(const ReplicaPtr& replica, TimePoint end, TimePoint now)
+{
+    const TimePoint before = replica->warmup.until();
+    replica->warmup.recordObservedEnd(end, now);
+    notifyIfProlonged(replica, before, now);
+}
+
+void ReplicaDirectory::notifyIfProlonged(const ReplicaPtr& replica, TimePoint before, TimePoint now)
+{
+    const bool isProlonged = replica->warmup.isCold(now) && replica->warmup.until() > before;
+    if (isProlonged && onCold_)
+        onCold_(replica);
 }
 
 void ReplicaDirectory::retire(const ReplicaPtr& replica)
@@ -116,8 +148,8 @@
 {
     auto replica = std::make_shared<Replica>();
     replica->entry = entry;
-    replica->warmupUntil = now + entry.warmupLeft;
     insert(replica);
+    recordWarmup(replica, now);
 }
 
 /// Adds a replica that is not listed. A run that was listed before keeps its health and its announcements.
@@ -138,10 +170,13 @@
         add(entry, now);
         return;
     }
+    const bool isNewer = isOlder(replica->entry, entry);
     if (!isOlder(entry, replica->entry))
         replica->entry = entry;
     replica->isListed = true;
     insert(replica);
+    if (isNewer)
+        recordWarmup(replica, now);
 }
 
 void ReplicaDirectory::insert(const ReplicaPtr& replica)
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -5,6 +5,7 @@
 #include "../connection/rate_share.h"
 #include "../connection/replica_health.h"
 #include "limpettrestle/routing.h"
+#include "warmup.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -18,10 +19,10 @@
 struct Replica {
     ReplicaEntry entry;
     ReplicaHealth health;
-    /// Paces the calls of this instance while the replica limits its request rate.
+    /// Paces the calls of this instance while the replica limits its request rate or is cold.
     RateShare rate;
-    /// End of the warm-up after the start, during which the replica is slow.
-    TimePoint warmupUntil {};
+    /// Tells how long the replica is cold.
+    Warmup warmup;
     /// The registry lists this run of the replica.
     bool isListed = true;
     /// Another replica answered at its address, or the replica announced that it leaves.
@@ -40,14 +41,23 @@
 public:
     /// Called when a replica stops accepting work.
     using RetireHandler = std::function<void(const ReplicaPtr&)>;
+    /// Called when a warm-up begins or is prolonged.
+    using ColdHandler = std::function<void(const ReplicaPtr&)>;
 
     explicit ReplicaDirectory(RetireHandler onRetire)
         : onRetire_(std::move(onRetire))
     {
     }
 
-    /// Applies a report of a replica about itself. Reports older than the known one are ignored.
-    void apply(const ReplicaEntry& entry, TimePoint now);
+    void setColdHandler(ColdHandler onCold) { onCold_ = std::move(onCold); }
+
+    /// Applies a report of a replica about itself. Reports older than the known one are ignored. Returns true when its
+    /// warm-up has changed so that other instances must receive the report; see `Warmup::recordReport()`.
+    bool apply(const ReplicaEntry& entry, TimePoint now);
+    /// Records the remaining warm-up time in a reply of the replica.
+    void noteReply(const ReplicaPtr& replica, Millis warmupLeft, TimePoint now);
+    /// Records the end of a warm-up that another instance has learned from a reply.
+    void noteObservedWarmup(const ReplicaPtr& replica, TimePoint end, TimePoint now);
     /// Stops using a run of a replica, whatever the registry says, until the replica restarts.
     void retire(const ReplicaPtr& replica);
     /// Retires a replica that announced in an answer that it leaves. Returns false if this was known.
@@ -80,12 +90,15 @@
     };
 
     void add(const ReplicaEntry& entry, TimePoint now);
+    bool recordWarmup(const ReplicaPtr& replica, TimePoint now);
+    void notifyIfProlonged(const ReplicaPtr& replica, TimePoint before, TimePoint now);
     void readmit(const ReplicaEntry& entry, TimePoint now);
     void insert(const ReplicaPtr& replica);
     void drop(const std::string& id, TimePoint now);
     void forgetDeparted(TimePoint now);
 
     RetireHandler onRetire_;
+    ColdHandler onCold_;
     absl::flat_hash_map<std::string, ReplicaPtr> byId_;
     absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> byService_;
     TimePoint deferUntil_ {};
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -63,6 +63,7 @@
     , clock_(*init.clock)
     , random_(init.seed)
     , relayChoice_(init.instance, init.zone, init.seed)
+    , coldLimits_({ init.instance, init.zone, init.coldExcess, init.coldSlack, init.plan })
 {
     subset_.instance = init.instance;
     subset_.zone = init.zone;
@@ -114,6 +115,8 @@
     table_ = std::move(table);
     if (init_.plan != nullptr)
         init_.plan->setTable(*table_);
+    coldLimits_.setTable(*table_, clock_.now());
+    updateColdReplicas();
     return true;
 }
 
@@ -162,6 +165,8 @@
         return;
     Call& call = *found->second;
     const TimePoint now = clock_.now();
+    if (!call.isSent)
+        call.replica->rate.callSent(now);
     call.isSent = true;
     call.sentAt = now;
     ++stats_.callsSent;
@@ -238,6 +243,8 @@
             continue;
         const std::unique_ptr<Call> call = std::move(found->second);
         calls_.erase(found);
+        if (!call->isSent)
+            call->replica->rate.callWithdrawn();
         if (event.isReply)
             handleReply(*call, std::move(event.reply));
         else
@@ -493,6 +500,8 @@
         return;
     const std::unique_ptr<Call> call = std::move(found->second);
     calls_.erase(found);
+    if (!call->isSent)
+        call->replica->rate.callWithdrawn();
     call->replica->health.callEnded(id, clock_.now(), end);
     init_.transport->cancelCall(id);
 }
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -13,6 +13,7 @@
 #include "../process/replica_directory.h"
 #include "../process/zone_reach.h"
 #include "../version/route_table.h"
+#include "cold_limits.h"
 #include "gather_plan.h"
 #include "relay_choice.h"
 #include "weighted_round_robin.h"
@@ -155,6 +156,9 @@
     double repeatRatio = 0.2;
     /// Burst of repeats per service beyond that ratio, shared by all instances.
     double repeatSlack = 20;
+    /// Limits on calls to a cold replica; see `GatewaySettings::coldExcess` and `GatewaySettings::coldSlack`.
+    double coldExcess = 1;
+    double coldSlack = 1;
     /// Name of this instance.
     std::string instance;
     /// Time reserved before the latency target for merging and sending an answer, in addition to
@@ -198,6 +202,15 @@
 
     /// Sets the number of instances that share repeat budgets and connections to replicas.
     void setFleetSize(uint32_t instances);
+    /// Records the instances that are listed now. Must be called repeatedly while this instance is in touch: the lists decide
+    /// which instance may call a cold replica.
+    void setCurrentInstances(const std::vector<InstanceInfo>& instances) { coldLimits_.setInstances(instances, clock_.now()); }
+    /// Applies the limits on calls to cold replicas. Must be called periodically.
+    void updateColdReplicas();
+    /// Reports that the warm-up of a replica has begun or been prolonged.
+    void replicaTurnedCold(const ReplicaPtr& replica);
+    /// True if the cold replicas of a service accept a limited rate.
+    bool hasColdLimit(const std::string& service) const { return coldLimits_.isLimited(service); }
     /// Subset of a service's replicas that this instance calls.
     std::vector<ReplicaPtr> usedReplicas(const std::string& service) const;
     /// Maximum number of connections from this instance to one replica of a service.
@@ -302,7 +315,8 @@
     void noteRateLimit(const ReplicaPtr& replica, std::optional<double> limit);
     void noteRateLimits(const std::vector<ReplicaRateLimit>& limits);
     uint32_t rateSharers(const std::string& service) const;
-    void withdrawUnsentCalls(const ReplicaPtr& replica);
+    void restrictIfCold(const ReplicaPtr& replica);
+    void withdrawUnsentCalls(const ReplicaPtr& replica, std::string_view trailWord);
     void withdrawUnsentCalls(OpenRequest& openRequest);
     ResultCode unavailableReason(const std::string& service) const;
     Millis timeToNextCall(const std::string& service) const;
@@ -362,6 +376,7 @@
     absl::flat_hash_map<uint64_t, Group> groups_;
     absl::flat_hash_map<uint64_t, Relay> relays_;
     RelayChoice relayChoice_;
+    ColdLimits coldLimits_;
     CrashDetector crashDetector_;
     /// Newest version of the configuration by which another instance has processed a request of this one. Callers must not
     /// be taken back to an older one by the next instance.
--- a/src/request/dispatcher_announcements.cpp
+++ b/src/request/dispatcher_announcements.cpp
@@ -1,4 +1,4 @@
-/// What replicas announce about themselves: that they leave, or that they want no requests for a time.
+/// What replicas announce about themselves: that they leave, that they want no requests for a time, or that they are cold.
 
 #include "dispatcher_p.h"
 
@@ -27,7 +27,7 @@
         return;
     if (!isBackingOff && init_.announcements != nullptr)
         init_.announcements->onReplicaBackOff(*replica, time);
-    withdrawUnsentCalls(replica);
+    withdrawUnsentCalls(replica, "back_off");
 }
 
 void Dispatcher::noteRateLimit(const ReplicaPtr& replica, std::optional<double> limit)
@@ -61,8 +61,33 @@
     return init_.plan->isAggregatorOf(service) ? aggregators : 0;
 }
 
+void Dispatcher::restrictIfCold(const ReplicaPtr& replica)
+{
+    const TimePoint now = clock_.now();
+    if (replica->warmup.isCold(now) && coldLimits_.isLimited(replica->entry.service))
+        replica->rate.restrict(coldLimits_.intervalFor(replica->entry, now), replica->warmup.until(), now);
+    else
+        replica->rate.unrestrict();
+}
+
+void Dispatcher::updateColdReplicas()
+{
+    coldLimits_.update(clock_.now());
+    for (const auto& [id, replica] : init_.directory->all())
+        restrictIfCold(replica);
+}
+
+void Dispatcher::replicaTurnedCold(const ReplicaPtr& replica)
+{
+    const bool wasRestricted = replica->rate.isRestricted(clock_.now());
+    restrictIfCold(replica);
+    // Calls that were assigned to it while it was warm may be more than it accepts now.
+    if (!wasRestricted && replica->rate.isRestricted(clock_.now()))
+        withdrawUnsentCalls(replica, "turned_cold");
+}
+
 /// Takes back the calls that wait for a connection to a replica, and sends them to other replicas.
-void Dispatcher::withdrawUnsentCalls(const ReplicaPtr& replica)
+void Dispatcher::withdrawUnsentCalls(const ReplicaPtr& replica, std::string_view trailWord)
 {
     std::vector<uint64_t> unsent;
     for (const auto& [id, call] : calls_) {
@@ -81,7 +106,7 @@
             continue;
         OpenRequest& openRequest = *owner->second;
         std::erase(openRequest.parts[partIndex].calls, id);
-        retryOrFail(openRequest, partIndex, ResultCode::ServerShed, "back_off");
+        retryOrFail(openRequest, partIndex, ResultCode::ServerShed, trailWord);
         finishIfDecided(openRequest);
     }
 }
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -89,7 +89,7 @@
 ReplicaPtr Dispatcher::chooseReplicaFor(const OpenRequest& openRequest, const Part& part, ChoiceScope scope)
 {
     const std::vector<ReplicaPtr> candidates = usedReplicas(*part.service);
-    const ChoiceQuery query { candidates, init_.zone, scope, openRequest.routeState->meanDuration, openRequest.mayRepeat() ? kLossCostIdempotent : kLossCostAtMostOnce, part.triedReplicas };
+    const ChoiceQuery query { candidates, init_.zone, scope, openRequest.routeState->meanDuration, openRequest.mayRepeat() ? kLossCostIdempotent : kLossCostAtMostOnce, part.triedReplicas, part.sentCalls > 0 };
     return chooseReplica(query, clock_.now());
 }
 
@@ -217,8 +217,10 @@
     if (reply.isLeaving)
         noteLeaving(call.replica, "replica");
     // A misdirected call was answered by another replica.
-    if (!reply.isMisdirected)
+    if (!reply.isMisdirected) {
+        init_.directory->noteReply(call.replica, reply.warmupLeft, now);
         noteRateLimit(call.replica, reply.rateLimit);
+    }
     if (reply.backOff > Millis::zero())
         noteBackOff(call.replica, reply.backOff);
 
--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -173,10 +173,13 @@
 {
     dividedShards_.clear();
     ownShards_.clear();
+    groupKeys_.clear();
     for (const RouteSpec& route : routes_) {
         if (shouldDivide(route))
             dividedShards_.insert(route.shards.begin(), route.shards.end());
         for (const GatherGroup& group : splitShards(route.shards.size())) {
+            for (size_t i = group.firstShard; i < group.firstShard + group.shardCount; ++i)
+                groupKeys_.try_emplace(route.shards[i], route.shards[group.firstShard]);
             const std::vector<const InstanceInfo*> candidates = aggregatorCandidates(route.shards[group.firstShard]);
             const bool isOwn = std::any_of(candidates.begin(), candidates.end(), [this](const InstanceInfo* candidate) { return candidate->name == init_.self; });
             if (isOwn)
@@ -190,6 +193,14 @@
     return !dividedShards_.contains(service) || ownShards_.contains(service);
 }
 
+std::string_view GatherPlan::groupKeyOf(const std::string& service) const
+{
+    if (!dividedShards_.contains(service))
+        return {};
+    const auto found = groupKeys_.find(service);
+    return found == groupKeys_.end() ? std::string_view() : found->second;
+}
+
 uint32_t GatherPlan::aggregatorCount(const std::string& service) const
 {
     if (!dividedShards_.contains(service) || instances_.empty())
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -55,6 +55,9 @@
     bool callsDirectly(const std::string& service) const;
     /// True if the service is divided and this instance is one of its aggregators.
     bool isAggregatorOf(const std::string& service) const { return dividedShards_.contains(service) && ownShards_.contains(service); }
+    /// First shard of the group to which a service belongs, whose rendezvous hash selects the aggregators; empty if the
+    /// service is not divided.
+    std::string_view groupKeyOf(const std::string& service) const;
     /// Estimated number of the service's aggregators in all zones; 0 if the service is not divided.
     uint32_t aggregatorCount(const std::string& service) const;
     /// Number of instances that share the connections to the service's replicas; 0 if all instances do.
@@ -90,6 +93,8 @@
     absl::flat_hash_set<std::string> dividedShards_;
     /// Shards of the groups for which this instance is an aggregator candidate.
     absl::flat_hash_set<std::string> ownShards_;
+    /// First shard of the group of each shard; for a shard of several routes, that of the first route.
+    absl::flat_hash_map<std::string, std::string> groupKeys_;
 };
 
 } // namespace limpettrestle
