--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -461,6 +461,14 @@
     callerServer_->respond(request, std::move(response));
 }
 
+void Gateway::noteCompleteState(bool wasComplete)
+{
+    if (wasComplete || !state_.isComplete())
+        return;
+    log_.logger().info("event=registry_read direct={} replicas={}", registryClient_->isActive(), state_.directory().size());
+    uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kMaintenancePeriod.count()));
+}
+
 uint64_t Gateway::configVersion() const
 {
     return dispatcher_->table() ? dispatcher_->table()->version() : 0;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -46,14 +46,6 @@
         state_.onRegistryRestored();
 }
 
-void Gateway::noteCompleteState(bool wasComplete)
-{
-    if (wasComplete || !state_.isComplete())
-        return;
-    log_.logger().info("event=registry_read direct={} replicas={}", registryClient_->isActive(), state_.directory().size());
-    uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kMaintenancePeriod.count()));
-}
-
 void Gateway::applyConfig(RoutingDocument document, std::string_view source)
 {
     const uint64_t version = document.version;
