--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -230,6 +230,9 @@
     std::vector<ReplicaRun> leavingReplicas;
     /// For groups: rate limits of the replicas of the group's shards.
     std::vector<ReplicaRateLimit> rateLimits;
+    /// For groups: fraction of the requests of this priority that each shard has room for, in the order of the shards; empty
+    /// if all have room for all.
+    std::vector<double> admittedFractions;
 };
 
 /// Request to another instance, called the aggregator, to gather a group of a search's shards.
@@ -246,6 +249,8 @@
     uint32_t topRecords = 0;
     /// See `RouteSpec::homeRegions`.
     std::vector<std::string> homeRegions;
+    /// See `RouteSpec::priority`.
+    uint32_t priority = 0;
 };
 
 /// Reply of an aggregator to a `GroupRequest`.
@@ -260,6 +265,8 @@
     /// Replicas of the shards that have announced that they leave.
     std::vector<ReplicaRun> leavingReplicas;
     std::vector<ReplicaRateLimit> rateLimits;
+    /// See `RouteAnswer::admittedFractions`.
+    std::vector<double> admittedFractions;
 };
 
 /// Request that an instance relays to another one, because it cannot reach the replicas that the request needs.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -204,6 +204,7 @@
     checkSuspension();
     state_.directory().tick(clock_.now());
     updateQuarantines();
+    dispatcher_->checkRefusals();
     chooseSource();
     updateFleetSize();
     updateInstances();
@@ -412,7 +413,7 @@
     HttpResponse response;
     if (answer.isMerged || !answer.missing.empty()) {
         response.status = 200;
-        response.body = encode(GroupReply { std::move(answer.partSignatures), std::move(answer.missing), std::move(answer.body), report.callsSent, report.repeats, std::move(answer.leavingReplicas), std::move(answer.rateLimits) });
+        response.body = encode(GroupReply { std::move(answer.partSignatures), std::move(answer.missing), std::move(answer.body), report.callsSent, report.repeats, std::move(answer.leavingReplicas), std::move(answer.rateLimits), std::move(answer.admittedFractions) });
     } else {
         response.status = 503;
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,7 @@
     void onReplicaLeaving(const Replica& replica, std::string_view source) override;
     void onReplicaBackOff(const Replica& replica, Millis time) override;
     void onReplicaRateLimit(const Replica& replica, uint32_t sharers) override;
+    void onAdmission(const AdmissionState& state) override;
     void onCallLost(const Replica& replica, const ForwardedRequest& request) override;
     void onReplicaCrashed(const Replica& replica, CrashEvidence evidence, const std::vector<CrashReport>& reports) override;
     void onRequestCleared(RequestFingerprint request) override;
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -47,6 +47,9 @@
     metrics_.setGauge("limpettrestle_calls_sent_total", "Calls handed to replicas", static_cast<double>(stats.callsSent));
     metrics_.setGauge("limpettrestle_repeats_total", "Calls beyond the first of a part", static_cast<double>(stats.repeats));
     metrics_.setGauge("limpettrestle_repeats_denied_total", "Repeats that the budget denied", static_cast<double>(stats.repeatsDenied));
+    metrics_.setGauge("limpettrestle_repeats_without_room_total", "Repeats that were not made because the replicas have no room", static_cast<double>(stats.repeatsWithoutRoom));
+    metrics_.setGauge("limpettrestle_refused_without_room_total", "Requests refused because the replicas have no room", static_cast<double>(stats.refusedWithoutRoom));
+    metrics_.setGauge("limpettrestle_admitted_fraction", "Lowest fraction of the requests of a service that is admitted", dispatcher_->admittedFraction());
     metrics_.setGauge("limpettrestle_parts_missing_total", "Parts missing from merged answers", static_cast<double>(stats.partsMissing));
     metrics_.setGauge("limpettrestle_calls_lost_total", "Calls that ended without a reply", static_cast<double>(stats.callsLost));
     metrics_.setGauge("limpettrestle_callers_left_total", "Callers that left before their answer", static_cast<double>(stats.callersDisconnected));
--- a/src/gateway/gateway_replica_events.cpp
+++ b/src/gateway/gateway_replica_events.cpp
@@ -29,6 +29,11 @@
     log_.logger().info("event=replica_rate_limit id={} service={} limited={} per_second={} sharers={}", replica.entry.id, replica.entry.service, replica.rate.isLimited(), replica.rate.limit(), sharers);
 }
 
+void Gateway::onAdmission(const AdmissionState& state)
+{
+    log_.logger().info("event=admission route={} refusing={} service={} fraction={:.2f} wait_us={} refused={}", state.route, state.isRefusing, state.service, state.fraction, state.wait.count(), dispatcher_->stats().refusedWithoutRoom);
+}
+
 void Gateway::onCallLost(const Replica& replica, const ForwardedRequest& request)
 {
     log_.logger().info("event=call_lost id={} replica={} born={} fingerprint={:016x} target={}", request.requestId, replica.entry.id, replica.entry.startedAt, request.fingerprint.value, request.target);
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -3,6 +3,8 @@
 #include "bounded_json.h"
 #include "message_pack.h"
 
+#include <cmath>
+
 namespace limpettrestle {
 
 namespace {
@@ -16,6 +18,11 @@
     constexpr size_t kLeavingReplicasField = 5;
     /// Index of the rate limits in a reply, likewise.
     constexpr size_t kRateLimitsField = 6;
+    /// Index of the admitted fractions in a reply, and of the priority in a request, likewise.
+    constexpr size_t kAdmittedFractionsField = 8;
+    constexpr size_t kPriorityField = 13;
+    /// Admitted fractions are sent as multiples of its inverse.
+    constexpr double kFractionScale = 255;
 
 } // namespace
 
@@ -24,7 +31,7 @@
     const ForwardedRequest& forwarded = request.forwarded;
     return toMessagePack(json::array({ binary(forwarded.requestId), binary(forwarded.method), binary(forwarded.target), binary(forwarded.host),
         binary(forwarded.commonHead), request.route, request.shards, request.softTimeout.count(), request.timeLeft.count(),
-        request.maxAttempts, request.topRecords, forwarded.fingerprint.value }));
+        request.maxAttempts, request.topRecords, forwarded.fingerprint.value, nullptr, request.priority }));
 }
 
 std::optional<GroupRequest> decodeGroupRequest(const std::string& bytes)
@@ -46,6 +53,8 @@
         request.topRecords = root.at(10).get<uint32_t>();
         if (root.size() > kFingerprintField)
             request.forwarded.fingerprint.value = root.at(kFingerprintField).get<uint64_t>();
+        if (root.size() > kPriorityField)
+            request.priority = root.at(kPriorityField).get<uint32_t>();
         if (request.shards.empty() || request.shards.size() > kMaxGroupShards || request.timeLeft <= Millis::zero() || request.maxAttempts == 0)
             return std::nullopt;
         return request;
@@ -65,7 +74,10 @@
     json limits = json::array();
     for (const ReplicaRateLimit& limit : reply.rateLimits)
         limits.push_back(json::array({ limit.replica.id, limit.replica.startedAt, limit.perSecond }));
-    return toMessagePack(json::array({ signatures, encodeMissing(reply.missing), binary(reply.records), reply.callsSent, reply.repeats, leaving, limits }));
+    json fractions = json::array();
+    for (const double fraction : reply.admittedFractions)
+        fractions.push_back(static_cast<uint32_t>(std::lround(fraction * kFractionScale)));
+    return toMessagePack(json::array({ signatures, encodeMissing(reply.missing), binary(reply.records), reply.callsSent, reply.repeats, leaving, limits, nullptr, fractions }));
 }
 
 std::optional<GroupReply> decodeGroupReply(const std::string& bytes)
@@ -87,6 +99,10 @@
             for (const json& limit : root.at(kRateLimitsField))
                 reply.rateLimits.push_back({ { limit.at(0).get<std::string>(), limit.at(1).get<int64_t>() }, limit.at(2).get<double>() });
         }
+        if (root.size() > kAdmittedFractionsField) {
+            for (const json& fraction : root.at(kAdmittedFractionsField))
+                reply.admittedFractions.push_back(fraction.get<uint32_t>() / kFractionScale);
+        }
         return reply;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -4,6 +4,7 @@
 
 #include "../connection/rate_share.h"
 #include "../connection/replica_health.h"
+#include "../connection/replica_load.h"
 #include "limpettrestle/routing.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -18,6 +19,7 @@
 struct Replica {
     ReplicaEntry entry;
     ReplicaHealth health;
+    ReplicaLoad load;
     /// Paces the calls of this instance while the replica limits its request rate.
     RateShare rate;
     /// End of the warm-up after the start, during which the replica is slow.
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -112,6 +112,7 @@
     if (table_ && table->version() <= table_->version())
         return false;
     table_ = std::move(table);
+    admission_.setTable(*table_);
     if (init_.plan != nullptr)
         init_.plan->setTable(*table_);
     return true;
@@ -263,6 +264,7 @@
     const Micros target = std::max<Micros>(Millis(1), route.latencyTarget - init_.answerMargin - answerDelay - forwarded.transitTime);
     openRequest->softDeadlineAt = std::min<TimePoint>(openRequest->deadlineAt, openRequest->receivedAt + target);
     openRequest->nextUpdateAt = openRequest->deadlineAt;
+    openRequest->position = Admission::positionOf(forwarded.requestId);
     forwarded.maxReplyBytes = maxReplyBytes(route, table_->limits());
     openRequest->request = std::make_shared<const ForwardedRequest>(std::move(forwarded));
     if (openRequest->isMerged()) {
@@ -347,7 +349,7 @@
     const uint32_t pending = openRequest.pending();
     const TimePoint now = clock_.now();
     if (done + pending < required) {
-        answerFailure(openRequest, ResultCode::CoverageBelowMinimum);
+        answerFailure(openRequest, coverageFailure(openRequest));
         return true;
     }
     if (done >= required && (pending == 0 || now >= openRequest.softDeadlineAt)) {
@@ -421,6 +423,8 @@
     RouteAnswer answer;
     answer.code = code;
     answer.retryAfter = isQuarantined ? Millis(-1) : retryAfterFailure(openRequest);
+    if (code == ResultCode::PredictedWaitExceedsDeadline)
+        answer.retryAfter = std::max(answer.retryAfter, noteRefusal(openRequest));
     if (!mayHaveRun) {
         answer.status = isQuarantined ? resultCodeInfo(code).httpStatus : 503;
     } else {
@@ -459,8 +463,10 @@
     for (const MissingPart& missing : answer.missing)
         addToTrail(openRequest, resultCodeInfo(missing.reason).name, missing.service, nullptr);
     report.trail = std::move(openRequest.trail);
-    if (openRequest.isGroup)
+    if (openRequest.isGroup) {
         addAnnouncements(openRequest, answer);
+        addAdmittedFractions(openRequest, answer);
+    }
     const uint64_t id = openRequest.id;
     cancelRelay(openRequest);
     releaseCalls(openRequest, false);
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -13,6 +13,7 @@
 #include "../process/replica_directory.h"
 #include "../process/zone_reach.h"
 #include "../version/route_table.h"
+#include "admission.h"
 #include "gather_plan.h"
 #include "relay_choice.h"
 #include "weighted_round_robin.h"
@@ -93,7 +94,17 @@
     virtual void answer(uint64_t request, RouteAnswer answer, const RequestReport& report) = 0;
 };
 
-/// Receives what replicas announced about themselves.
+/// Whether requests of a route are refused because the replicas have no room for them.
+struct AdmissionState {
+    std::string route;
+    bool isRefusing = false;
+    /// Service with the least room, the fraction of the route's requests that it admits and the predicted wait for it.
+    std::string service;
+    double fraction = 1;
+    Micros wait { 0 };
+};
+
+/// Receives what replicas announced about themselves, and what follows from their load.
 class ReplicaAnnouncementsI {
 public:
     virtual ~ReplicaAnnouncementsI() = default;
@@ -104,6 +115,8 @@
     /// A replica has begun or ceased to limit its request rate; see `Replica::rate`. `sharers`: number of instances that
     /// share the limit, or 0 if this instance has no share.
     virtual void onReplicaRateLimit(const Replica& replica, uint32_t sharers) = 0;
+    /// A route has begun or ceased to refuse requests.
+    virtual void onAdmission(const AdmissionState& state) = 0;
 };
 
 /// How the end of a replica's process was noticed.
@@ -171,6 +184,10 @@
     uint64_t repeats = 0;
     /// Repeats that the budget did not allow.
     uint64_t repeatsDenied = 0;
+    /// Repeats that were not made because the service has no room for them.
+    uint64_t repeatsWithoutRoom = 0;
+    /// Requests that were refused because the replicas have no room for them.
+    uint64_t refusedWithoutRoom = 0;
     /// Parts missing from merged answers.
     uint64_t partsMissing = 0;
     uint64_t repliesNotExecuted = 0;
@@ -230,6 +247,10 @@
     void applyQuarantines();
     /// Looks for signs that replicas with lost calls have crashed. Must be called periodically.
     void checkCrashes();
+    /// Looks for routes that have ceased to refuse requests. Must be called periodically.
+    void checkRefusals();
+    /// Lowest fraction of the requests of a service that is admitted at present.
+    double admittedFraction() const { return admission_.lowestFraction(clock_.now()); }
 
     void groupAnswered(uint64_t group, GroupReply reply);
     /// `mayHaveRun`: the aggregator may have called replicas.
@@ -322,6 +343,17 @@
     void retryOrFail(OpenRequest& openRequest, size_t partIndex, ResultCode reason, std::string_view trailWord);
     static void markMissing(OpenRequest& openRequest, Part& part, ResultCode reason);
     Micros hedgeDelay(const OpenRequest& openRequest) const;
+
+    void recordReplicaLoad(const Call& call, const ReplicaReply& reply);
+    void updateAdmission(const std::string& service);
+    static ServiceWait predictWait(const std::vector<ReplicaPtr>& replicas, TimePoint now);
+    bool hasRoom(const OpenRequest& openRequest, const Part& part);
+    void markPartsWithoutRoom(OpenRequest& openRequest, const std::vector<bool>& isGathered);
+    static ResultCode coverageFailure(const OpenRequest& openRequest);
+    Millis noteRefusal(const OpenRequest& openRequest);
+    void addAdmittedFractions(const OpenRequest& openRequest, RouteAnswer& answer) const;
+    void noteAdmittedFractions(const OpenRequest& openRequest, const Group& group, const std::vector<double>& fractions);
+
     ReplicaPtr chooseReplicaFor(const OpenRequest& openRequest, const Part& part, ChoiceScope scope);
 
     std::vector<GatherGroup> planGroups(const OpenRequest& openRequest);
@@ -361,6 +393,7 @@
     absl::flat_hash_map<uint64_t, std::unique_ptr<Call>> calls_;
     absl::flat_hash_map<uint64_t, Group> groups_;
     absl::flat_hash_map<uint64_t, Relay> relays_;
+    Admission admission_;
     RelayChoice relayChoice_;
     CrashDetector crashDetector_;
     /// Newest version of the configuration by which another instance has processed a request of this one. Callers must not
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -64,6 +64,10 @@
         if (isGathered[i])
             continue;
         Part& part = openRequest.parts[i];
+        if (!hasRoom(openRequest, part)) {
+            markMissing(openRequest, part, ResultCode::PredictedWaitExceedsDeadline);
+            continue;
+        }
         LoadBudget& budget = repeatBudgetOf(*part.service);
         budget.setBurst(repeatBurst(*part.service));
         budget.earn(init_.repeatRatio);
@@ -72,6 +76,7 @@
             markMissing(openRequest, part, unavailableReason(*part.service));
     }
     markUnreachableParts(openRequest, isGathered);
+    markPartsWithoutRoom(openRequest, isGathered);
     // If the request cannot succeed, nothing is sent and `updateRequest()` answers with a failure.
     if (openRequest.pending() < openRequest.requiredParts())
         return;
@@ -171,6 +176,10 @@
     // Early hedges leave part of the budget to calls that are still open at the latest time at which
     // a hedge can succeed.
     const std::string& service = *openRequest.parts[partIndex].service;
+    if (!admission_.allowsHedge(service)) {
+        ++stats_.repeatsWithoutRoom;
+        return false;
+    }
     const double needed = isEarly ? 1 + repeatBurst(service) * kEarlyHedgeReserve : 1;
     if (repeatBudgetOf(service).tokens() < needed) {
         ++stats_.repeatsDenied;
@@ -203,6 +212,7 @@
     const TimePoint now = clock_.now();
     Replica& replica = *call.replica;
     replica.health.recordLoad(reply.running, reply.waiting, now);
+    recordReplicaLoad(call, reply);
     const bool wasNotExecuted = reply.isNotExecuted || reply.isMisdirected;
     if (wasNotExecuted)
         replica.health.callEnded(call.id, now, CallEnd::Failed);
@@ -341,6 +351,11 @@
         return;
     }
     const bool isRepeat = part.sentCalls > 0;
+    if (isRepeat && !admission_.allowsRetry(*part.service)) {
+        ++stats_.repeatsWithoutRoom;
+        markMissing(openRequest, part, reason);
+        return;
+    }
     if (isRepeat && !repeatBudgetOf(*part.service).spend()) {
         ++stats_.repeatsDenied;
         markMissing(openRequest, part, reason);
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -55,6 +55,7 @@
     request.timeLeft = std::max(Millis(1), std::chrono::duration_cast<Millis>(openRequest.deadlineAt - now));
     request.maxAttempts = openRequest.route->maxAttempts;
     request.topRecords = openRequest.route->topRecords;
+    request.priority = openRequest.route->priority;
     const uint64_t id = ++lastId_;
     for (size_t i = plannedGroup.firstShard; i < plannedGroup.firstShard + plannedGroup.shardCount; ++i) {
         openRequest.parts[i].group = id;
@@ -87,6 +88,7 @@
     route->maxAttempts = group.maxAttempts;
     route->shards = std::move(group.shards);
     route->topRecords = group.topRecords;
+    route->priority = group.priority;
     route->minCoverage = 0;
     group.forwarded.callerTimeout = group.timeLeft;
     auto newRequest = makeRequest(request, std::move(group.forwarded), *route);
@@ -114,6 +116,7 @@
         return;
     OpenRequest& openRequest = *owner->second;
     std::erase(openRequest.groups, id);
+    noteAdmittedFractions(openRequest, group, reply.admittedFractions);
     // An incomplete group was answered at its soft deadline, so the excess is the delay of its reply.
     if (!reply.missing.empty())
         openRequest.routeState->groupDelay.add(std::max<Micros>(Micros(0), std::chrono::duration_cast<Micros>(now - group.softDeadlineAt)));
@@ -165,7 +168,7 @@
     }
     const bool isDue = openRequest.done >= openRequest.requiredParts() && clock_.now() + kMinTimeLeft >= openRequest.softDeadlineAt;
     for (const auto& [partIndex, reason] : missingParts) {
-        if (isDue)
+        if (isDue || reason == ResultCode::PredictedWaitExceedsDeadline)
             markMissing(openRequest, openRequest.parts[partIndex], reason);
         else
             retryOrFail(openRequest, partIndex, reason, "not_gathered");
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -48,6 +48,8 @@
     /// Time from the soft deadline of a group until its reply was received.
     LatencyQuantile groupDelay;
     WeightedRoundRobin roundRobin;
+    /// Time at which a request was last refused without room; the epoch if the route admits all.
+    TimePoint lastRefusalAt {};
 };
 
 /// Part of a request: one shard of a merged request, or the service of a forwarded request.
@@ -84,6 +86,8 @@
     bool isGroup = false;
     RouteState* routeState = nullptr;
     RequestPtr request;
+    /// Position in the order of refusal; see `Admission::positionOf()`.
+    double position = 0;
     TimePoint receivedAt {};
     /// Time at which a merged answer is sent if it has the minimum coverage.
     TimePoint softDeadlineAt {};
