--- a/src/connection/replica_load.cpp
+++ b/src/connection/replica_load.cpp
@@ -9,8 +9,9 @@
 
     /// Weight of a new sample in the service time.
     constexpr double kServiceTimeWeight = 0.1;
-    /// Half-life of a reported queue: a replica that gets no calls drains within tens of milliseconds.
-    constexpr double kQueueHalfLifeSeconds = 0.06;
+    /// Half-life of a reported queue: a replica that gets no calls drains within a few service times.
+    constexpr double kMinQueueHalfLifeSeconds = 0.06;
+    constexpr int kQueueHalfLifeServiceTimes = 3;
     /// Queue per slot of a replica that turns calls away without a report.
     constexpr double kShedQueuePerSlot = 4;
 
@@ -42,7 +43,8 @@
 double ReplicaLoad::queue(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(now - queueAt_).count();
-    return queue_ * std::exp2(-age / kQueueHalfLifeSeconds);
+    const double halfLife = std::max(kMinQueueHalfLifeSeconds, std::chrono::duration<double>(serviceTime_ * kQueueHalfLifeServiceTimes).count());
+    return queue_ * std::exp2(-age / halfLife);
 }
 
 Micros ReplicaLoad::wait(uint32_t slots, size_t queued, size_t inFlight, TimePoint now) const
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -25,7 +25,7 @@
     /// Tolerated wait: a fraction of the shortest latency target, but at least this many service times, so that the slots
     /// stay in use.
     constexpr double kWaitShare = 0.3;
-    constexpr int kMinServiceTimes = 2;
+    constexpr double kMinServiceTimes = 0.2;
     constexpr Millis kDefaultLatencyTarget { 100 };
 
     /// Each priority is admitted at least this part of the fraction of all requests.
@@ -43,6 +43,16 @@
     constexpr double kHedgePressure = 0.5;
     constexpr double kRetryPressure = 1;
 
+    /// Service time up to which the fraction rises at the full rate; with longer ones the effect of a change shows later.
+    constexpr Millis kFastServiceTime { 20 };
+    constexpr double kMinRiseGain = 0.4;
+
+    double riseGain(Micros serviceTime)
+    {
+        const auto ratio = std::chrono::duration<double>(kFastServiceTime) / std::chrono::duration<double>(std::max<Micros>(serviceTime, kFastServiceTime));
+        return std::max(kMinRiseGain, ratio);
+    }
+
     double secondsBetween(TimePoint from, TimePoint to) { return std::chrono::duration<double>(to - from).count(); }
 
     double limitStep(double seconds, Millis longest) { return std::clamp(seconds, 0.0, std::chrono::duration<double>(longest).count()); }
@@ -135,7 +145,8 @@
 {
     Service& entry = services_[service];
     entry.predicted = predicted;
-    entry.fraction.update(std::chrono::duration<double>(predicted.wait) / toleratedWait(service, predicted.serviceTime), now);
+    const double pressure = std::chrono::duration<double>(predicted.wait) / toleratedWait(service, predicted.serviceTime);
+    entry.fraction.update(pressure < 1 ? 1 - (1 - pressure) * riseGain(predicted.serviceTime) : pressure, now);
 }
 
 void Admission::recordReport(const std::string& service, uint32_t priority, double fraction, TimePoint now)
@@ -168,13 +179,13 @@
 bool Admission::allowsHedge(const std::string& service) const
 {
     const Service* entry = find(service);
-    return entry == nullptr || (entry->fraction.value() >= 1 && entry->fraction.pressure() < kHedgePressure);
+    return entry == nullptr || entry->predicted.wait < toleratedWait(service, entry->predicted.serviceTime) * kHedgePressure;
 }
 
 bool Admission::allowsRetry(const std::string& service) const
 {
     const Service* entry = find(service);
-    return entry == nullptr || entry->fraction.pressure() < kRetryPressure;
+    return entry == nullptr || entry->predicted.wait < toleratedWait(service, entry->predicted.serviceTime) * kRetryPressure;
 }
 
 double Admission::lowestFraction(TimePoint now) const
@@ -193,7 +204,7 @@
     const auto found = latencyTargets_.find(service);
     const Millis target = found == latencyTargets_.end() ? kDefaultLatencyTarget : found->second;
     const auto share = std::chrono::duration_cast<Micros>(target * kWaitShare);
-    return std::max({ Micros(1), share, serviceTime * kMinServiceTimes });
+    return std::max({ Micros(1), share, std::chrono::duration_cast<Micros>(serviceTime * kMinServiceTimes) });
 }
 
 const Admission::Service* Admission::find(const std::string& service) const
