--- a/src/connection/replica_choice.cpp
+++ b/src/connection/replica_choice.cpp
@@ -1,6 +1,7 @@
 #include "replica_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace limpettrestle {
 
@@ -13,6 +14,9 @@
     /// Replicas with a higher latency ratio than this are not chosen for a repeated call.
     constexpr double kMaxRepeatLatencyRatio = 3.0;
 
+    /// Half-life of a replica's service time without answers, so that a slow one that has recovered is tried again.
+    constexpr double kServiceTimeHalfLifeSeconds = 3.0;
+
     bool isExcluded(const ReplicaPtr& replica, std::span<const ReplicaPtr> excluded)
     {
         return std::find(excluded.begin(), excluded.end(), replica) != excluded.end();
@@ -36,6 +40,31 @@
         return time;
     }
 
+    Micros serviceTime(const Replica& replica, TimePoint now)
+    {
+        const double age = std::chrono::duration<double>(now - replica.health.lastAnswer()).count();
+        return std::chrono::duration_cast<Micros>(replica.load.serviceTime() * std::exp2(-age / kServiceTimeHalfLifeSeconds));
+    }
+
+    Micros waitFor(const Replica& replica, TimePoint now)
+    {
+        return replica.load.wait(replica.entry.slots, replica.queued, replica.health.inFlight(), now);
+    }
+
+    /// True if calls wait at the fastest replica for half a service time. The durations of calls then say more about
+    /// the queues than about the replicas.
+    bool isLoaded(std::span<const ReplicaPtr> candidates, TimePoint now)
+    {
+        const Replica* fastest = nullptr;
+        for (const ReplicaPtr& replica : candidates) {
+            if (!replica->acceptsWork() || replica->health.isBackingOff(now) || replica->health.isAvoided(now))
+                continue;
+            if (fastest == nullptr || serviceTime(*replica, now) < serviceTime(*fastest, now))
+                fastest = replica.get();
+        }
+        return fastest != nullptr && waitFor(*fastest, now) > serviceTime(*fastest, now) / 2;
+    }
+
 } // namespace
 
 ReplicaPtr chooseReplica(const ChoiceQuery& query, TimePoint now)
@@ -44,6 +73,7 @@
     // Fallback when no other replica qualifies: one that is unresponsive, or that failed once a moment ago.
     ReplicaPtr fallback;
     double bestTime = 0;
+    const bool hasQueues = isLoaded(query.candidates, now);
     const bool mayUseLimited = query.scope == ChoiceScope::First || hasUnlimitedReplica(query.candidates);
     for (const ReplicaPtr& replica : query.candidates) {
         if (!replica->acceptsWork() || replica->health.isBackingOff(now) || isExcluded(replica, query.excluded))
@@ -59,7 +89,7 @@
         }
         if (query.scope == ChoiceScope::Repeat && replica->health.latencyRatio(now) > kMaxRepeatLatencyRatio)
             continue;
-        const double time = expectedTime(*replica, query, now);
+        const double time = hasQueues ? std::chrono::duration<double, std::micro>(serviceTime(*replica, now) + waitFor(*replica, now)).count() : expectedTime(*replica, query, now);
         if (!best || time < bestTime) {
             best = replica;
             bestTime = time;
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -264,6 +264,7 @@
     const Micros target = std::max<Micros>(Millis(1), route.latencyTarget - init_.answerMargin - answerDelay - forwarded.transitTime);
     openRequest->softDeadlineAt = std::min<TimePoint>(openRequest->deadlineAt, openRequest->receivedAt + target);
     openRequest->nextUpdateAt = openRequest->deadlineAt;
+    openRequest->rank = rankOf(*openRequest, forwarded.callerTimeout);
     openRequest->position = Admission::positionOf(forwarded.requestId);
     forwarded.maxReplyBytes = maxReplyBytes(route, table_->limits());
     openRequest->request = std::make_shared<const ForwardedRequest>(std::move(forwarded));
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -344,6 +344,7 @@
     static void markMissing(OpenRequest& openRequest, Part& part, ResultCode reason);
     Micros hedgeDelay(const OpenRequest& openRequest) const;
 
+    static uint32_t rankOf(const OpenRequest& openRequest, Millis patience);
     void recordReplicaLoad(const Call& call, const ReplicaReply& reply);
     void updateAdmission(const std::string& service);
     static ServiceWait predictWait(const std::vector<ReplicaPtr>& replicas, TimePoint now);
--- a/src/request/dispatcher_admission.cpp
+++ b/src/request/dispatcher_admission.cpp
@@ -9,11 +9,28 @@
     /// Retry-After of a refused request: the time that the queue needs to drain, multiplied by the number of requests per
     /// admitted one, up to this factor, and a random share of it.
     constexpr double kMaxRetrySpread = 4;
+    /// A caller's patience is short if it lacks more than the latency target divided by this.
+    constexpr int kPatienceDivisor = 4;
+    /// Part of the longest patience that is forgotten with each request.
+    constexpr int kPatienceDecay = 2000;
     /// Time without a refusal after which a route is no longer reported as refusing.
     constexpr Millis kRefusalPause { 1000 };
 
 } // namespace
 
+/// Returns the rank of a request. A caller who is willing to wait for less time than others has probably been refused
+/// before: its answer will be late, so that a refusal does less harm.
+uint32_t Dispatcher::rankOf(const OpenRequest& openRequest, Millis patience)
+{
+    RouteState& state = *openRequest.routeState;
+    const uint32_t rank = openRequest.route->priority * kRanksPerPriority;
+    if (patience <= Millis::zero())
+        return rank;
+    state.firstPatience = std::max(state.firstPatience - state.firstPatience / kPatienceDecay, patience);
+    const bool isRepeated = patience + openRequest.route->latencyTarget / kPatienceDivisor < state.firstPatience;
+    return rank + static_cast<uint32_t>(isRepeated);
+}
+
 /// Updates the load of the replica that has replied to a call.
 void Dispatcher::recordReplicaLoad(const Call& call, const ReplicaReply& reply)
 {
@@ -58,9 +75,9 @@
 bool Dispatcher::hasRoom(const OpenRequest& openRequest, const Part& part)
 {
     const TimePoint now = clock_.now();
-    admission_.addRequest(*part.service, openRequest.route->priority, now);
+    admission_.addRequest(*part.service, openRequest.rank, now);
     updateAdmission(*part.service);
-    return admission_.admits(*part.service, openRequest.route->priority, openRequest.position, now);
+    return admission_.admits(*part.service, openRequest.rank, openRequest.position, now);
 }
 
 /// Marks the parts for which aggregators have no room as missing if the other parts cannot reach the minimum coverage, so
@@ -72,7 +89,7 @@
         return;
     std::vector<size_t> refused;
     for (size_t i = 0; i < openRequest.parts.size(); ++i) {
-        if (isGathered[i] && !admission_.admits(*openRequest.parts[i].service, openRequest.route->priority, openRequest.position, now))
+        if (isGathered[i] && !admission_.admits(*openRequest.parts[i].service, openRequest.rank, openRequest.position, now))
             refused.push_back(i);
     }
     if (openRequest.pending() - refused.size() >= openRequest.requiredParts())
@@ -101,7 +118,7 @@
     for (const Part& part : openRequest.parts) {
         if (part.state != PartState::Missing)
             continue;
-        const double fraction = admission_.fractionFor(*part.service, openRequest.route->priority, now);
+        const double fraction = admission_.fractionFor(*part.service, openRequest.rank, now);
         if (fraction > state.fraction)
             continue;
         state.fraction = fraction;
@@ -138,7 +155,7 @@
     std::vector<double> fractions;
     fractions.reserve(openRequest.parts.size());
     for (const Part& part : openRequest.parts)
-        fractions.push_back(admission_.fractionFor(*part.service, openRequest.route->priority, now));
+        fractions.push_back(admission_.fractionFor(*part.service, openRequest.rank, now));
     if (std::any_of(fractions.begin(), fractions.end(), [](double fraction) { return fraction < 1; }))
         answer.admittedFractions = std::move(fractions);
 }
@@ -148,7 +165,7 @@
     if (fractions.size() != group.shardCount)
         return;
     for (size_t i = 0; i < fractions.size(); ++i)
-        admission_.recordReport(*openRequest.parts[group.firstShard + i].service, openRequest.route->priority, fractions[i], clock_.now());
+        admission_.recordReport(*openRequest.parts[group.firstShard + i].service, openRequest.rank, fractions[i], clock_.now());
 }
 
 } // namespace limpettrestle
--- a/src/request/dispatcher_calls.cpp
+++ b/src/request/dispatcher_calls.cpp
@@ -156,6 +156,9 @@
 void Dispatcher::reassignUnsentCall(OpenRequest& openRequest, size_t partIndex, uint64_t id)
 {
     Part& part = openRequest.parts[partIndex];
+    // Other replicas of a service without room are slower, or full as well.
+    if (!admission_.allowsRetry(*part.service) && init_.transport->isConnected(calls_.at(id)->replica))
+        return;
     const ReplicaPtr replica = part.startedCalls < kMaxCallsPerPart ? chooseReplicaFor(openRequest, part, ChoiceScope::First) : nullptr;
     const Call& call = *calls_.at(id);
     if (!init_.transport->isConnected(call.replica))
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -55,7 +55,7 @@
     request.timeLeft = std::max(Millis(1), std::chrono::duration_cast<Millis>(openRequest.deadlineAt - now));
     request.maxAttempts = openRequest.route->maxAttempts;
     request.topRecords = openRequest.route->topRecords;
-    request.priority = openRequest.route->priority;
+    request.priority = openRequest.rank;
     const uint64_t id = ++lastId_;
     for (size_t i = plannedGroup.firstShard; i < plannedGroup.firstShard + plannedGroup.shardCount; ++i) {
         openRequest.parts[i].group = id;
@@ -88,12 +88,12 @@
     route->maxAttempts = group.maxAttempts;
     route->shards = std::move(group.shards);
     route->topRecords = group.topRecords;
-    route->priority = group.priority;
     route->minCoverage = 0;
     group.forwarded.callerTimeout = group.timeLeft;
     auto newRequest = makeRequest(request, std::move(group.forwarded), *route);
     newRequest->groupRoute = std::move(route);
     newRequest->isGroup = true;
+    newRequest->rank = group.priority;
     OpenRequest& openRequest = *(requests_[request] = std::move(newRequest));
     launchAllParts(openRequest);
     updateRequest(openRequest);
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -15,6 +15,9 @@
 /// No call is sent when less time than this remains.
 constexpr Millis kMinTimeLeft { 5 };
 
+/// Ranks per priority; see `OpenRequest::rank`.
+constexpr uint32_t kRanksPerPriority = 2;
+
 /// True when an instance sent nothing because the request crashes replicas.
 inline bool isQuarantineCode(ResultCode code)
 {
@@ -48,6 +51,8 @@
     /// Time from the soft deadline of a group until its reply was received.
     LatencyQuantile groupDelay;
     WeightedRoundRobin roundRobin;
+    /// Time that callers of the route are willing to wait when they ask for the first time.
+    Millis firstPatience { 0 };
     /// Time at which a request was last refused without room; the epoch if the route admits all.
     TimePoint lastRefusalAt {};
 };
@@ -88,6 +93,9 @@
     RequestPtr request;
     /// Position in the order of refusal; see `Admission::positionOf()`.
     double position = 0;
+    /// Rank in the order of refusal: by the priority, and among equals first those that have been waiting for their answer
+    /// since before this attempt.
+    uint32_t rank = 0;
     TimePoint receivedAt {};
     /// Time at which a merged answer is sent if it has the minimum coverage.
     TimePoint softDeadlineAt {};
