--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -24,14 +24,25 @@
     /// Admitted fractions are sent as multiples of its inverse.
     constexpr double kFractionScale = 255;
 
+    /// Sets an optional field; those before it that are not sent are null.
+    void setField(json& root, size_t index, json value)
+    {
+        while (root.size() < index)
+            root.push_back(nullptr);
+        root.push_back(std::move(value));
+    }
+
 } // namespace
 
 std::string encode(const GroupRequest& request)
 {
     const ForwardedRequest& forwarded = request.forwarded;
-    return toMessagePack(json::array({ binary(forwarded.requestId), binary(forwarded.method), binary(forwarded.target), binary(forwarded.host),
+    json root = json::array({ binary(forwarded.requestId), binary(forwarded.method), binary(forwarded.target), binary(forwarded.host),
         binary(forwarded.commonHead), request.route, request.shards, request.softTimeout.count(), request.timeLeft.count(),
-        request.maxAttempts, request.topRecords, forwarded.fingerprint.value, nullptr, request.priority }));
+        request.maxAttempts, request.topRecords, forwarded.fingerprint.value });
+    if (request.priority != 0)
+        setField(root, kPriorityField, request.priority);
+    return toMessagePack(root);
 }
 
 std::optional<GroupRequest> decodeGroupRequest(const std::string& bytes)
@@ -53,7 +64,7 @@
         request.topRecords = root.at(10).get<uint32_t>();
         if (root.size() > kFingerprintField)
             request.forwarded.fingerprint.value = root.at(kFingerprintField).get<uint64_t>();
-        if (root.size() > kPriorityField)
+        if (root.size() > kPriorityField && !root.at(kPriorityField).is_null())
             request.priority = root.at(kPriorityField).get<uint32_t>();
         if (request.shards.empty() || request.shards.size() > kMaxGroupShards || request.timeLeft <= Millis::zero() || request.maxAttempts == 0)
             return std::nullopt;
@@ -74,10 +85,13 @@
     json limits = json::array();
     for (const ReplicaRateLimit& limit : reply.rateLimits)
         limits.push_back(json::array({ limit.replica.id, limit.replica.startedAt, limit.perSecond }));
+    json root = json::array({ signatures, encodeMissing(reply.missing), binary(reply.records), reply.callsSent, reply.repeats, leaving, limits });
     json fractions = json::array();
     for (const double fraction : reply.admittedFractions)
         fractions.push_back(static_cast<uint32_t>(std::lround(fraction * kFractionScale)));
-    return toMessagePack(json::array({ signatures, encodeMissing(reply.missing), binary(reply.records), reply.callsSent, reply.repeats, leaving, limits, nullptr, fractions }));
+    if (!fractions.empty())
+        setField(root, kAdmittedFractionsField, fractions);
+    return toMessagePack(root);
 }
 
 std::optional<GroupReply> decodeGroupReply(const std::string& bytes)
