--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -230,7 +230,7 @@
     std::vector<ReplicaRun> leavingReplicas;
     /// For groups: rate limits of the replicas of the group's shards.
     std::vector<ReplicaRateLimit> rateLimits;
-    /// For groups: fraction of the requests of this priority that each shard has room for, in the order of the shards; empty
+    /// For groups: fraction of the requests of this rank that each shard has room for, in the order of the shards; empty
     /// if all have room for all.
     std::vector<double> admittedFractions;
 };
@@ -249,7 +249,7 @@
     uint32_t topRecords = 0;
     /// See `RouteSpec::homeRegions`.
     std::vector<std::string> homeRegions;
-    /// See `RouteSpec::priority`.
+    /// Rank in the order of refusal; 0 is refused last.
     uint32_t priority = 0;
 };
 
