--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,6 +211,7 @@
     state_.tick();
     updateFacts();
     updateQuarantines();
+    dispatcher_->checkRefusals();
     chooseSource();
     updateFleetSize();
     updateInstances();
@@ -422,7 +423,7 @@
     HttpResponse response;
     if (answer.isMerged || !answer.missing.empty()) {
         response.status = 200;
-        response.body = encode(GroupReply { std::move(answer.partSignatures), std::move(answer.missing), std::move(answer.body), report.callsSent, report.repeats, std::move(answer.leavingReplicas), std::move(answer.rateLimits) });
+        response.body = encode(GroupReply { std::move(answer.partSignatures), std::move(answer.missing), std::move(answer.body), report.callsSent, report.repeats, std::move(answer.leavingReplicas), std::move(answer.rateLimits), std::move(answer.admittedFractions) });
     } else {
         response.status = 503;
     }
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -4,6 +4,7 @@
 
 #include "../connection/rate_share.h"
 #include "../connection/replica_health.h"
+#include "../connection/replica_load.h"
 #include "limpettrestle/routing.h"
 #include "warmup.h"
 
@@ -19,9 +20,10 @@
 struct Replica {
     ReplicaEntry entry;
     ReplicaHealth health;
+    ReplicaLoad load;
     /// Paces the calls of this instance while the replica limits its request rate or is cold.
     RateShare rate;
-    /// Tells how long the replica is cold.
+    /// Time for which the replica is cold.
     Warmup warmup;
     /// The registry lists this run of the replica.
     bool isListed = true;
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -67,6 +67,7 @@
     request.maxAttempts = openRequest.route->maxAttempts;
     request.topRecords = openRequest.route->topRecords;
     request.homeRegions = openRequest.route->homeRegions;
+    request.priority = openRequest.rank;
     const uint64_t id = ++lastId_;
     for (size_t i = plannedGroup.firstShard; i < plannedGroup.firstShard + plannedGroup.shardCount; ++i) {
         openRequest.parts[i].group = id;
@@ -105,6 +106,7 @@
     auto newRequest = makeRequest(request, std::move(group.forwarded), *route);
     newRequest->groupRoute = std::move(route);
     newRequest->isGroup = true;
+    newRequest->rank = group.priority;
     OpenRequest& openRequest = *(requests_[request] = std::move(newRequest));
     launchAllParts(openRequest);
     updateRequest(openRequest);
@@ -127,6 +129,7 @@
         return;
     OpenRequest& openRequest = *owner->second;
     std::erase(openRequest.groups, id);
+    noteAdmittedFractions(openRequest, group, reply.admittedFractions);
     // An incomplete group was answered at its soft deadline, so the excess is the delay of its reply.
     if (!reply.missing.empty())
         openRequest.routeState->groupDelay.add(std::max<Micros>(Micros(0), std::chrono::duration_cast<Micros>(now - group.softDeadlineAt)));
@@ -178,7 +181,7 @@
     }
     const bool isDue = openRequest.done >= openRequest.requiredParts() && clock_.now() + kMinTimeLeft >= openRequest.softDeadlineAt;
     for (const auto& [partIndex, reason] : missingParts) {
-        if (isDue)
+        if (isDue || reason == ResultCode::PredictedWaitExceedsDeadline)
             markMissing(openRequest, openRequest.parts[partIndex], reason);
         else
             retryOrFail(openRequest, partIndex, reason, "not_gathered");
--- a/tests/message_compatibility_test.cpp
+++ b/tests/message_compatibility_test.cpp
@@ -173,8 +173,11 @@
     json group = earlierGroupRequest();
     group.push_back(99);
     group.push_back(json::array({ "east" }));
+    group.push_back(1);
     group.push_back("later");
     CHECK(decodeGroupRequest(toMessagePack(group)));
+    group.at(13) = "later";
+    CHECK_FALSE(decodeGroupRequest(toMessagePack(group)));
     json relay = earlierRelayRequest();
     relay.push_back("later");
     CHECK(decodeRelayRequest(toMessagePack(relay)));
