What replies say of cold replicas reaches followers; a group's rank is named so

Cause: the functions that turn a reply's warm-up into a shared fact and back had no caller, so that only the instance that had received the reply held it. The cluster state merges its own findings with each maintenance and applies those of its reader; followers have no way to send theirs upward, which stays open. The priority field of a group held the rank under load (priority, then first attempts), and has that name now. Test: a follower receives from its reader what a reply has said of a cold replica. Ruled out: a notice of its own.

--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -251,8 +251,8 @@
     uint32_t topRecords = 0;
     /// See `RouteSpec::homeRegions`.
     std::vector<std::string> homeRegions;
-    /// Rank in the order of refusal; 0 is refused last.
-    uint32_t priority = 0;
+    /// Rank of the request under load, lower ones go first: by priority, then first attempts before repeated ones.
+    uint32_t rank = 0;
 };
 
 /// Reply of an aggregator to a `GroupRequest`.
--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -1,5 +1,7 @@
 #include "cluster_state.h"
 
+#include "../process/cold_replicas.h"
+
 #include <algorithm>
 #include <random>
 
@@ -113,6 +115,8 @@
 {
     directory_.tick(clock_.now());
     facts_.expire(clock_.now());
+    for (const SharedFact& fact : coldReplicaFacts(directory_, clock_.now()))
+        mergeFact(fact, "");
     if (missingEvacuations_.empty() || clock_.now() < keepEvacuationsUntil_)
         return;
     const absl::flat_hash_map<std::string, FactVersion> due = std::move(missingEvacuations_);
@@ -131,8 +135,10 @@
     if (!facts_.merge(fact, clock_.now()))
         return;
     changes_.factsChanged();
-    if (fact.kind != FactKind::ZoneEvacuated)
+    if (fact.kind == FactKind::ReplicaCold) {
+        applyColdReplicaFacts({ fact }, directory_, clock_.now());
         return;
+    }
     const Millis age = std::chrono::duration_cast<Millis>(clock_.now() - fact.learnedAt);
     log_.info("event={} zone={} source={} sender={} version={}.{} age_ms={}", fact.holds ? "zone_evacuated" : "zone_restored", fact.subject, fact.source, sender, fact.version.era, fact.version.number, age.count());
     updateEvacuatedZones();
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -20,9 +20,9 @@
     constexpr size_t kLeavingReplicasField = 5;
     /// Index of the rate limits in a reply, likewise.
     constexpr size_t kRateLimitsField = 6;
-    /// Index of the admitted fractions in a reply, and of the priority in a request, likewise.
+    /// Index of the admitted fractions in a reply, and of the rank in a request, likewise.
     constexpr size_t kAdmittedFractionsField = 8;
-    constexpr size_t kPriorityField = 13;
+    constexpr size_t kRankField = 13;
     /// Admitted fractions are sent as multiples of its inverse.
     constexpr double kFractionScale = 255;
 
@@ -44,8 +44,8 @@
         request.maxAttempts, request.topRecords, forwarded.fingerprint.value });
     if (!request.homeRegions.empty())
         setField(root, kHomeRegionsField, request.homeRegions);
-    if (request.priority != 0)
-        setField(root, kPriorityField, request.priority);
+    if (request.rank != 0)
+        setField(root, kRankField, request.rank);
     return toMessagePack(root);
 }
 
@@ -70,8 +70,8 @@
             request.forwarded.fingerprint.value = root.at(kFingerprintField).get<uint64_t>();
         if (root.size() > kHomeRegionsField && !root.at(kHomeRegionsField).is_null())
             request.homeRegions = root.at(kHomeRegionsField).get<std::vector<std::string>>();
-        if (root.size() > kPriorityField && !root.at(kPriorityField).is_null())
-            request.priority = root.at(kPriorityField).get<uint32_t>();
+        if (root.size() > kRankField && !root.at(kRankField).is_null())
+            request.rank = root.at(kRankField).get<uint32_t>();
         if (request.shards.empty() || request.shards.size() > kMaxGroupShards || request.timeLeft <= Millis::zero() || request.maxAttempts == 0)
             return std::nullopt;
         return request;
--- a/src/process/shared_facts.h
+++ b/src/process/shared_facts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Facts that instances pass on to each other, each with its source, its age and a version that orders what is known
+/// Facts that instances pass on to each other, each with its source, its age and a version that orders statements
 /// about the same subject. Does no I/O.
 
 #include "limpettrestle/limpettrestle.h"
@@ -60,7 +60,7 @@
     std::vector<SharedFact> all() const;
     /// Removes facts that ended by themselves.
     void expire(TimePoint now);
-    /// Digest of the table, by which instances compare what they know; 0 when it is empty.
+    /// Digest of the table, by which instances compare their tables; 0 when it is empty.
     uint64_t digest() const { return digest_; }
     size_t size() const { return facts_.size(); }
 
--- a/src/request/dispatcher_groups.cpp
+++ b/src/request/dispatcher_groups.cpp
@@ -67,7 +67,7 @@
     request.maxAttempts = openRequest.route->maxAttempts;
     request.topRecords = openRequest.route->topRecords;
     request.homeRegions = openRequest.route->homeRegions;
-    request.priority = openRequest.rank;
+    request.rank = openRequest.rank;
     const uint64_t id = ++lastId_;
     for (size_t i = plannedGroup.firstShard; i < plannedGroup.firstShard + plannedGroup.shardCount; ++i) {
         openRequest.parts[i].group = id;
@@ -106,7 +106,7 @@
     auto newRequest = makeRequest(request, std::move(group.forwarded), *route);
     newRequest->groupRoute = std::move(route);
     newRequest->isGroup = true;
-    newRequest->rank = group.priority;
+    newRequest->rank = group.rank;
     OpenRequest& openRequest = *(requests_[request] = std::move(newRequest));
     launchAllParts(openRequest);
     updateRequest(openRequest);
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -385,7 +385,7 @@
     group.softTimeout = Millis(60);
     group.timeLeft = Millis(300);
     group.maxAttempts = 2;
-    group.priority = 0;
+    group.rank = 0;
     uint64_t refused = 0;
     for (int i = 0; i < 100 && refused == 0; ++i) {
         group.forwarded.requestId = "g" + std::to_string(i);
@@ -410,10 +410,10 @@
     request.forwarded.requestId = "id";
     request.shards = { "s0" };
     request.timeLeft = Millis(10);
-    request.priority = 3;
+    request.rank = 3;
     const std::optional<GroupRequest> decoded = decodeGroupRequest(encode(request));
     REQUIRE(decoded);
-    CHECK(decoded->priority == 3);
+    CHECK(decoded->rank == 3);
     GroupReply reply;
     reply.admittedFractions = { 1, 0.2 };
     const std::optional<GroupReply> decodedReply = decodeGroupReply(encode(reply));
--- a/tests/cold_replica_test.cpp
+++ b/tests/cold_replica_test.cpp
@@ -4,6 +4,7 @@
 #include "../src/process/cold_replicas.h"
 #include "../src/request/cold_limits.h"
 #include "support/cold_fleet.h"
+#include "support/state_bed.h"
 
 #include <catch2/catch.hpp>
 #include <spdlog/sinks/null_sink.h>
@@ -169,6 +170,28 @@
     CHECK_FALSE(table.merge(coldReplicaFacts(other, clock.now()).at(0), clock.now()));
 }
 
+TEST_CASE("a follower receives from its reader what a reply has said of a cold replica")
+{
+    StateTestBed reader;
+    StateTestBed follower;
+    for (StateTestBed* bed : { &reader, &follower })
+        bed->receive(answer(1, 10), { StateTestBed::written(limpettrestle::entryOf("r1", 1)) });
+    const TimePoint now = reader.clock.now();
+    reader.state.directory().noteObservedWarmup(reader.state.directory().find("r1"), now + Millis(3000), now);
+    const uint64_t before = reader.state.changes().position().number;
+    reader.state.tick();
+    CHECK(reader.state.changes().position().number > before);
+    std::vector<FactEntry> entries;
+    for (const SharedFact& fact : reader.state.facts().all())
+        entries.push_back(toEntry(fact, now));
+    REQUIRE(entries.size() == 1);
+    const ReplicaPtr replica = follower.state.directory().find("r1");
+    CHECK_FALSE(replica->warmup.isCold(now));
+    follower.state.applyFacts(entries, "reader");
+    CHECK(replica->warmup.isCold(now + Millis(2900)));
+    CHECK_FALSE(replica->warmup.isCold(now + Millis(3100)));
+}
+
 TEST_CASE("the monitor names replicas that have become cold or warm, but not those that have left")
 {
     TestClock clock;
