Review: the second copy of a refusal passes for the answer to a later try

Cause: a connection is kept from carrying a request twice only while no other request was sent on it in between.

--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -99,11 +99,11 @@
 
 
 class Gateway:
-    def __init__(self, bed, number, ports, seeds):
+    def __init__(self, bed, number, ports, seeds, store_port):
         self.front, self.readiness, self.control, self.metrics = ports
         values = {"node_id": f"front-z1-{number}", "zone": "z1", "zones": {"z1": "r1"}, "ip": HOST, "seeds": seeds, "limits": {"cpu_share": 0.25},
                   "listen": {"front": f"{HOST}:{self.front}", "readiness": f"{HOST}:{self.readiness}", "control": f"{HOST}:{self.control}"},
-                  "bounds": BOUNDS, "platform": {"address": f"{HOST}:{bed.store.server.port}"}}
+                  "bounds": BOUNDS, "platform": {"address": f"{HOST}:{store_port}"}}
         with open(os.path.join(ROOT, "deploy", "gateway.json"), encoding="utf-8") as text:
             settings = render(text.read(), values)
         # All gateways of the script share one address, so each needs a metrics port of its own.
@@ -141,23 +141,31 @@
         while self.is_open:
             time.sleep(1.2)
             for replica in list(self.replicas):
-                replica.report()
+                if replica.state != "gone":
+                    replica.report()
 
     def configure(self, routes, services):
         self.version += 3
         self.store.write("op/config", {"version": self.version, "routes": routes, "backends": services,
                                        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 
-    def start_gateways(self):
+    def start_gateway(self, number, ports, seeds, store_port=None):
         program = os.path.join(ROOT, deploy_command()[0])
         if not os.path.exists(program):
             raise CannotRun(f"{program} is not built")
+        self.gateways.append(Gateway(self, number, ports, seeds, store_port or self.store.server.port))
+
+    def wait_until_ready(self):
+        for gateway in self.gateways:
+            wait_for(gateway.is_ready, "a gateway is not ready")
+
+    def start_gateways(self):
         ports = free_ports(4 * self.gateway_count)
         sets = [ports[4 * n:4 * n + 4] for n in range(self.gateway_count)]
         seeds = [f"{HOST}:{one[2]}" for one in sets[:3]]
-        self.gateways = [Gateway(self, n, one, seeds) for n, one in enumerate(sets)]
-        for gateway in self.gateways:
-            wait_for(gateway.is_ready, "a gateway is not ready")
+        for number, one in enumerate(sets):
+            self.start_gateway(number, one, seeds)
+        self.wait_until_ready()
 
     def close(self):
         self.is_open = False
@@ -166,7 +174,8 @@
                 gateway.process.kill()
             gateway.process.wait()
         self.record.write()
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def read_response(connection, deadline):
--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import struct
 import threading
 import time
 
@@ -21,6 +22,7 @@
         self.runs, self.ended = {}, {}
         self.listener = socket.create_server((HOST, 0), backlog=128)
         self.port = self.listener.getsockname()[1]
+        self.connections = set()
         threading.Thread(target=self.accept, daemon=True).start()
         bed.replicas.append(self)
         self.report()
@@ -30,9 +32,24 @@
         self.bed.store.write(f"servers/{self.id}", {"backend": self.service, "address": f"{HOST}:{self.port}", "zone": self.zone, "version": "v1",
                                                     "capacity": self.capacity, "state": self.state, "warmup_left_ms": 0, "seq": self.seq, "born": self.born})
 
+    def end(self):
+        """Ends the process: nobody listens any more, and the connections are reset."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def accept(self):
         while True:
-            connection, _ = self.listener.accept()
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.add(connection)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
@@ -61,6 +78,7 @@
         except OSError:
             pass
         finally:
+            self.connections.discard(connection)
             connection.close()
 
     def handle(self, connection, state, method, path, headers, body):
