--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 from replica import Replica, route, service  # noqa: E402
 
 # Two slots each, as on the sheet of yard-desk, and its pauses of 120 ms each 3 s; 20 ms of work.
-WORK_S, PAUSE_S, PAUSE_EVERY_S, READ_AFTER_S, ROUNDS = 0.02, 0.12, 3.0, 0.07, 30
+WORK_S, PAUSE_S, PAUSE_EVERY_S, READ_AFTER_S, ROUNDS = 0.02, 0.12, 3.0, 0.07, 26
 # garble of sabar-livery: share 0.5 of the replicas, x 0.03 of the answers, for 5.5 s; here every 11 s.
 SUBMIT_WORK_S, COPIED_SHARE, GARBLED_S = 0.06, 0.03, 5.5
 DEADLINE_MS = 1000
