The log names the requests that a stop leaves without an answer

Cause: the record of the incident cannot tell a request that was open when the process ended from one whose answer was lost, since neither logs anything at the end. A stop now logs why the process ends, and each request that is open then. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,10 +17,6 @@
     constexpr Millis kStartupMaintenancePeriod { 50 };
     /// A delay of the maintenance timer beyond this means that the process was suspended or got no CPU time.
     constexpr Millis kSuspensionThreshold { 1000 };
-    /// After SIGTERM, the load balancer takes two failed readiness checks, one second apart, to stop sending requests.
-    constexpr Millis kBalancerLag { 2500 };
-    /// Safety margin before the end of the grace period.
-    constexpr Millis kGraceMargin { 500 };
     /// Share of the configured repeat ratio that is used. The rest covers measuring windows that are not aligned.
     constexpr double kRepeatRatioShare = 0.85;
     /// Set in the dispatcher's IDs of groups and relayed requests from other instances. The other bits are the exchange ID.
@@ -139,7 +135,6 @@
     log_.logger().info("event=started name={} zone={} caller={} registry={} seeds={} reader={}", settings_.name, settings_.zone,
         settings_.caller.toString(), settings_.registry.toString(), settings_.seeds.size(), isReader_);
     uv_run(&loop_, UV_RUN_DEFAULT);
-    log_.logger().info("event=stopped name={} requests={}", settings_.name, dispatcher_->stats().requests);
     log_.writePending();
     return 0;
 }
@@ -317,42 +312,6 @@
     registryClient_->restart();
 }
 
-void Gateway::beginShutdown()
-{
-    if (isShuttingDown_)
-        return;
-    isShuttingDown_ = true;
-    const TimePoint now = clock_.now();
-    earliestExitAt_ = now + kBalancerLag;
-    latestExitAt_ = now + std::max(Millis(0), settings_.grace - kGraceMargin);
-    callerServer_->setDraining();
-    log_.logger().info("event=shutdown_requested open_requests={} connections={}", dispatcher_->openRequests(), callerServer_->connections());
-}
-
-void Gateway::finishShutdownIfDrained()
-{
-    if (!isShuttingDown_)
-        return;
-    const TimePoint now = clock_.now();
-    if (now < earliestExitAt_)
-        return;
-    // Callers that connect in spite of the readiness check are refused from now on, so that the open requests come to
-    // an end before the grace period does.
-    callerServer_->stopListening();
-    const bool isDrained = dispatcher_->openRequests() == 0 && callerServer_->busyConnections() == 0;
-    if (isDrained || now >= latestExitAt_)
-        finishShutdown();
-}
-
-void Gateway::finishShutdown()
-{
-    callerServer_->stopListening();
-    callerServer_->closeIdle();
-    follower_->stop();
-    registryClient_->stop();
-    uv_stop(&loop_);
-}
-
 void Gateway::reloadSettings()
 {
     boost::leaf::try_handle_all(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -98,7 +98,9 @@
     void beginShutdown();
     /// Stops the loop when all requests are answered or the grace period ends.
     void finishShutdownIfDrained();
-    void finishShutdown();
+    void finishShutdown(std::string_view reason);
+    /// Logs the requests that end without an answer because the process ends.
+    void logCutRequests();
     void reloadSettings();
 
     bool isReady() const;
--- /dev/null
+++ b/src/gateway/gateway_shutdown.cpp
@@ -0,0 +1,65 @@
+/// Planned stop of a gateway: SIGTERM until the process ends.
+
+#include "gateway.h"
+
+namespace limpettrestle {
+
+namespace {
+
+    /// After SIGTERM, the load balancer takes two failed readiness checks, one second apart, to stop sending requests.
+    constexpr Millis kBalancerLag { 2500 };
+    /// Safety margin before the end of the grace period.
+    constexpr Millis kGraceMargin { 500 };
+    /// Limit on the open requests that are logged when the process ends.
+    constexpr size_t kMaxCutRequestsLogged = 64;
+
+} // namespace
+
+void Gateway::beginShutdown()
+{
+    if (isShuttingDown_)
+        return;
+    isShuttingDown_ = true;
+    const TimePoint now = clock_.now();
+    earliestExitAt_ = now + kBalancerLag;
+    latestExitAt_ = now + std::max(Millis(0), settings_.grace - kGraceMargin);
+    callerServer_->setDraining();
+    log_.logger().info("event=shutdown_requested open_requests={} connections={}", dispatcher_->openRequests(), callerServer_->connections());
+}
+
+void Gateway::finishShutdownIfDrained()
+{
+    if (!isShuttingDown_)
+        return;
+    const TimePoint now = clock_.now();
+    if (now < earliestExitAt_)
+        return;
+    // Callers that connect in spite of the readiness check are refused from now on, so that the open requests come to
+    // an end before the grace period does.
+    callerServer_->stopListening();
+    const bool isDrained = dispatcher_->openRequests() == 0 && callerServer_->busyConnections() == 0;
+    if (isDrained || now >= latestExitAt_)
+        finishShutdown(isDrained ? "drained" : "grace_over");
+}
+
+void Gateway::finishShutdown(std::string_view reason)
+{
+    logCutRequests();
+    log_.logger().info("event=stopped name={} reason={} requests={} open_requests={} busy_connections={}", settings_.name, reason, dispatcher_->stats().requests, dispatcher_->openRequests(), callerServer_->busyConnections());
+    callerServer_->stopListening();
+    callerServer_->closeIdle();
+    follower_->stop();
+    registryClient_->stop();
+    uv_stop(&loop_);
+}
+
+void Gateway::logCutRequests()
+{
+    std::vector<OpenRequestInfo> open = dispatcher_->openRequestInfos();
+    if (open.size() > kMaxCutRequestsLogged)
+        open.resize(kMaxCutRequestsLogged);
+    for (const OpenRequestInfo& request : open)
+        log_.logger().warn("event=request_cut id={} route={} open_us={} calls={}", request.requestId, request.route, request.age.count(), request.callsSent);
+}
+
+} // namespace limpettrestle
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -216,6 +216,14 @@
     postEvent({ call, false, {}, failure });
 }
 
+std::vector<OpenRequestInfo> Dispatcher::openRequestInfos() const
+{
+    std::vector<OpenRequestInfo> infos;
+    for (const auto& [id, openRequest] : requests_)
+        infos.push_back({ openRequest->request->requestId, openRequest->route->name, std::chrono::duration_cast<Micros>(clock_.now() - openRequest->receivedAt), openRequest->callsSent });
+    return infos;
+}
+
 TimePoint Dispatcher::nextTickAt() const
 {
     TimePoint next = abandonedCalls_.empty() ? TimePoint::max() : abandonedCalls_.front().first;
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -89,6 +89,15 @@
     std::string trail;
 };
 
+/// A request that has not been answered, for the log.
+struct OpenRequestInfo {
+    std::string requestId;
+    std::string route;
+    /// Time since it was received.
+    Micros age { 0 };
+    uint32_t callsSent = 0;
+};
+
 /// Receives exactly one final answer per request, unless its caller disconnects first.
 class AnswerSinkI {
 public:
@@ -287,6 +296,7 @@
     void tick();
 
     size_t openRequests() const { return requests_.size(); }
+    std::vector<OpenRequestInfo> openRequestInfos() const;
     const DispatcherStats& stats() const { return stats_; }
 
 private:
