Test that fails: requests on open connections are cut at the end of a stop

Callers ask on connections that they held before SIGTERM, one request each 55 ms, submissions and searches in turn.

--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -289,6 +289,69 @@
     require(gateway.lines("stopped"), "the stop is not logged")
 
 
+def ask_on_open_connections(gateway, count, spacing, ask):
+    """Opens `count` connections with one request each, sends SIGTERM, and asks once more on one after the other.
+
+    `ask(connection, name)` sends a request and returns its status. Returns pairs of the time after SIGTERM and the status or error.
+    """
+    connections = [http.client.HTTPConnection(HOST, gateway.caller, timeout=5) for _ in range(count)]
+    for number, connection in enumerate(connections):
+        require(ask(connection, f"first-{number}") == 200, "not served before SIGTERM")
+    results, threads = {}, []
+    start = time.monotonic()
+    gateway.process.send_signal(signal.SIGTERM)
+
+    def ask_again(number):
+        sent = time.monotonic() - start
+        try:
+            results[f"then-{number}"] = (sent, ask(connections[number], f"then-{number}"))
+        except (OSError, http.client.HTTPException) as error:
+            results[f"then-{number}"] = (sent, error)
+
+    for number in range(count):
+        time.sleep(max(0.0, start + 0.05 + number * spacing - time.monotonic()))
+        threads.append(threading.Thread(target=ask_again, args=(number,)))
+        threads[-1].start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def require_no_request_was_cut(cluster, results):
+    runs = {run[1] for replica in cluster.replicas for run in replica.runs}
+    for name, (sent, result) in sorted(results.items()):
+        if not isinstance(result, int):
+            require(name not in runs, f"{name}, sent {sent:.2f} s after SIGTERM, has run and was cut: {result!r}")
+        elif result == 503:
+            require(name not in runs, f"{name}, sent {sent:.2f} s after SIGTERM, has run and was answered 503")
+
+
+# Guards against requests on open connections that are passed on late in the grace period and cut when the process ends.
+def stop_cuts_no_request(cluster):
+    gateway = cluster.gateways[1]
+    for replica in cluster.replicas:
+        replica.delay = 0.25 if replica.service == "card" else 0.02
+
+    def ask(connection, name):
+        path, method = ("/card/x", "POST") if int(name.split("-")[1]) % 2 else ("/all/q", "GET")
+        connection.request(method, path, headers={"Host": "app.example", "X-Request-Id": name, "X-Deadline-Ms": "1500"})
+        response = connection.getresponse()
+        response.read()
+        return response.status
+
+    results = ask_on_open_connections(gateway, 110, 0.055, ask)
+    require(gateway.process.wait(2) == 0, "does not exit within the grace period")
+    require_no_request_was_cut(cluster, results)
+    unknown = [(name, sent) for name, (sent, result) in results.items() if result in (502, 504)]
+    require(not unknown, f"requests whose outcome is unknown: {unknown[:5]}")
+    # A submission must be answered 1 s before the grace period ends, whatever time it takes up to its timeout; a search is
+    # worth starting while its latency target fits.
+    latest = {name: 3.4 if int(name.split("-")[1]) % 2 else 4.6 for name in results}
+    refused = [(name, result) for name, (sent, result) in results.items() if sent < latest[name] and result != 200]
+    require(not refused, f"not served though there was time: {refused[:5]}")
+    require("reason=drained" in gateway.lines("stopped")[0], gateway.lines("stopped"))
+
+
 def suspended_instance_comes_back(cluster):
     gateway = cluster.gateways[2]
     gateway.process.send_signal(signal.SIGSTOP)
@@ -526,7 +589,7 @@
 
 
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
-         lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load,
+         lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
          suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
          crashing_request_is_refused, crashing_search_is_refused]
 # Options of `Cluster` for tests that need a different cluster.
