A stop answers every request before the process ends

Callers saw: requests on open connections, passed on to replicas late in the grace period, ended with a closed connection. Cause: at the end of its grace period less 0.5 s the process ended whatever was open, and until then took requests that could not be finished. Class: work is accepted without asking whether the time that the acceptor has left suffices.

From SIGTERM on, requests are refused at once when they cannot be processed by then: submissions that could take their whole timeout, searches when their target does not fit.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -258,7 +258,7 @@
         return;
     wasReady_ = !wasReady_;
     log_.logger().info("event=readiness ready={} config_version={} replicas={} leaving={} cut_off={} routes_cut={}", wasReady_,
-        table ? table->version() : 0, state_.directory().size(), isShuttingDown_, reachability_.isCutOff(), reachability_.cutOffRoutes());
+        table ? table->version() : 0, state_.directory().size(), stop_.hasBegun(), reachability_.isCutOff(), reachability_.cutOffRoutes());
 }
 
 void Gateway::updateReach()
@@ -345,7 +345,7 @@
 
 void Gateway::onGroup(ExchangeId exchange, GroupRequest request)
 {
-    if (isShuttingDown_)
+    if (stop_.hasBegun())
         rejectPeer(exchange);
     else
         dispatcher_->gather(exchange | kGroupRequestBit, std::move(request));
@@ -353,7 +353,7 @@
 
 void Gateway::onRelay(ExchangeId exchange, RelayRequest request)
 {
-    if (isShuttingDown_) {
+    if (stop_.hasBegun()) {
         rejectPeer(exchange);
         return;
     }
@@ -436,7 +436,7 @@
 
 bool Gateway::isReady() const
 {
-    return !isShuttingDown_ && state_.isComplete() && dispatcher_->table() != nullptr && !reachability_.isCutOff();
+    return !stop_.hasBegun() && state_.isComplete() && dispatcher_->table() != nullptr && !reachability_.isCutOff();
 }
 
 } // namespace limpettrestle
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "../net/http_server.h"
 #include "../process/cold_replicas.h"
 #include "../process/reachability.h"
+#include "../process/stop_schedule.h"
 #include "cluster_state.h"
 #include "crash_exchange.h"
 #include "event_log.h"
@@ -146,10 +147,7 @@
     ZoneReach reach_;
     Reachability reachability_ { &regions_ };
     ColdReplicaMonitor coldReplicas_;
-    bool isShuttingDown_ = false;
-    /// The process exits at the earliest when the load balancer has noticed, at the latest when the grace period ends.
-    TimePoint earliestExitAt_ {};
-    TimePoint latestExitAt_ {};
+    StopSchedule stop_;
     bool wasReady_ = false;
 };
 
--- a/src/gateway/gateway_pages.cpp
+++ b/src/gateway/gateway_pages.cpp
@@ -88,7 +88,7 @@
 HttpResponse Gateway::statusPage() const
 {
     const std::shared_ptr<const RouteTable>& table = dispatcher_->table();
-    const nlohmann::json status = { { "name", settings_.name }, { "zone", settings_.zone }, { "ready", isReady() }, { "leaving", isShuttingDown_ },
+    const nlohmann::json status = { { "name", settings_.name }, { "zone", settings_.zone }, { "ready", isReady() }, { "leaving", stop_.hasBegun() },
         { "cut_off", reachability_.isCutOff() }, { "config_version", table ? table->version() : 0 }, { "replicas", state_.directory().size() },
         { "knowledge_age_ms", sourceChoice_->age(clock_.now()).count() }, { "reads_registry", registryClient_->isActive() }, { "registry_calls", registryClient_->calls() },
         { "instances", lastFleetSize_ }, { "reader", isReader_ }, { "open_requests", dispatcher_->openRequests() }, { "evacuated_zones", evacuatedZonesJson(state_, clock_) } };
--- a/src/gateway/gateway_shutdown.cpp
+++ b/src/gateway/gateway_shutdown.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-    /// After SIGTERM, the load balancer takes two failed readiness checks, one second apart, to stop sending requests.
-    constexpr Millis kBalancerLag { 2500 };
-    /// Safety margin before the end of the grace period.
-    constexpr Millis kGraceMargin { 500 };
     /// Limit on the open requests that are logged when the process ends.
     constexpr size_t kMaxCutRequestsLogged = 64;
 
@@ -17,28 +13,24 @@
 
 void Gateway::beginShutdown()
 {
-    if (isShuttingDown_)
+    if (stop_.hasBegun())
         return;
-    isShuttingDown_ = true;
-    const TimePoint now = clock_.now();
-    earliestExitAt_ = now + kBalancerLag;
-    latestExitAt_ = now + std::max(Millis(0), settings_.grace - kGraceMargin);
+    stop_.begin(clock_.now(), settings_.grace);
+    dispatcher_->beginStop(stop_.answerBy());
     callerServer_->setDraining();
     log_.logger().info("event=shutdown_requested open_requests={} connections={}", dispatcher_->openRequests(), callerServer_->connections());
 }
 
 void Gateway::finishShutdownIfDrained()
 {
-    if (!isShuttingDown_)
-        return;
     const TimePoint now = clock_.now();
-    if (now < earliestExitAt_)
+    if (!stop_.mayRefuseConnections(now))
         return;
     // Callers that connect in spite of the readiness check are refused from now on, so that the open requests come to
     // an end before the grace period does.
     callerServer_->stopListening();
     const bool isDrained = dispatcher_->openRequests() == 0 && callerServer_->busyConnections() == 0;
-    if (isDrained || now >= latestExitAt_)
+    if (isDrained || stop_.mustExit(now))
         finishShutdown(isDrained ? "drained" : "grace_over");
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -60,7 +60,8 @@
     void respond(HttpResponse response)
     {
         exchange_ = 0;
-        const bool isLast = response.isLast || server_->isDraining_ || !keepsAlive_;
+        // Requests that the caller has already sent on the connection are answered before it is closed.
+        const bool isLast = !keepsAlive_ || ((response.isLast || server_->isDraining_) && pipelinedBytes_.empty());
         stateSince_ = server_->clock_.now();
         const std::string head = encodeHead(response, isLast);
         const std::string emptyBody;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -39,7 +39,8 @@
     /// Listens on an IPv4 address. Returns false when the address cannot be bound.
     bool listen(const std::string& host, int port);
     void setLimits(const IngressLimits& limits) { limits_ = limits; }
-    /// From now on, every response closes its connection; idle connections stay open until `closeIdle()`.
+    /// From now on, every response closes its connection, after those to pipelined requests; idle connections stay open
+    /// until `closeIdle()`.
     void setDraining() { isDraining_ = true; }
     /// Sends a response. Has no effect when the caller has disconnected.
     void respond(ExchangeId exchange, HttpResponse response);
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -155,7 +155,7 @@
         reject(request, forwarded, ResultCode::UnknownPath, Millis(-1));
         return;
     }
-    if (rejectQuarantined(request, forwarded))
+    if (rejectWhileStopping(request, forwarded, *route) || rejectQuarantined(request, forwarded))
         return;
     if (requests_.size() >= init_.maxRequests) {
         reject(request, forwarded, ResultCode::Overloaded, kLongRetryAfter);
@@ -170,6 +170,44 @@
     processEvents();
 }
 
+void Dispatcher::beginStop(TimePoint answerBy)
+{
+    answerBy_ = answerBy;
+    for (const auto& [id, openRequest] : requests_) {
+        limitToStop(*openRequest);
+        openRequest->nextUpdateAt = std::min(openRequest->nextUpdateAt, openRequest->deadlineAt);
+    }
+}
+
+/// Refuses a request that could not be processed before the stop. One that may be repeated is worth starting while its
+/// latency target fits; any other one must be able to take its whole timeout, or its outcome could remain unknown.
+bool Dispatcher::rejectWhileStopping(uint64_t request, const ForwardedRequest& forwarded, const RouteSpec& route)
+{
+    if (answerBy_ == TimePoint::max())
+        return false;
+    const Millis callerTimeout = forwarded.callerTimeout > Millis::zero() ? std::min(forwarded.callerTimeout, route.timeout) : route.timeout;
+    const Millis needed = route.repeat == RepeatPolicy::Idempotent ? std::min(callerTimeout, route.latencyTarget) : callerTimeout;
+    if (clock_.now() + needed <= answerBy_)
+        return false;
+    reject(request, forwarded, ResultCode::ShuttingDown, kShortRetryAfter);
+    return true;
+}
+
+void Dispatcher::limitToStop(OpenRequest& openRequest) const
+{
+    if (openRequest.deadlineAt <= answerBy_)
+        return;
+    openRequest.deadlineAt = answerBy_;
+    openRequest.softDeadlineAt = std::min(openRequest.softDeadlineAt, answerBy_);
+    openRequest.isCutShort = true;
+}
+
+/// Returns the code of a request whose deadline has passed without an answer.
+ResultCode Dispatcher::overdueCode(const OpenRequest& openRequest)
+{
+    return openRequest.isCutShort ? ResultCode::ShuttingDown : ResultCode::AttemptTimeout;
+}
+
 void Dispatcher::callerDisconnected(uint64_t request)
 {
     const auto found = requests_.find(request);
@@ -300,6 +338,7 @@
     const Micros answerDelay = std::min<Micros>(openRequest->routeState->answerDelay.value(Micros(0)), route.latencyTarget / kMaxAnswerDelayDivisor);
     const Micros target = std::max<Micros>(Millis(1), route.latencyTarget - init_.answerMargin - answerDelay - forwarded.transitTime);
     openRequest->softDeadlineAt = std::min<TimePoint>(openRequest->deadlineAt, openRequest->receivedAt + target);
+    limitToStop(*openRequest);
     openRequest->nextUpdateAt = openRequest->deadlineAt;
     openRequest->rank = rankOf(*openRequest, forwarded.callerTimeout);
     openRequest->position = Admission::positionOf(forwarded.requestId);
@@ -374,7 +413,7 @@
     if (openRequest.relay != 0) {
         const bool isOverdue = clock_.now() >= openRequest.deadlineAt;
         if (isOverdue)
-            answerFailure(openRequest, ResultCode::AttemptTimeout);
+            answerFailure(openRequest, overdueCode(openRequest));
         return isOverdue;
     }
     return openRequest.isMerged() ? finishMerged(openRequest) : finishForwarded(openRequest);
@@ -399,7 +438,7 @@
         return true;
     }
     if (now >= openRequest.deadlineAt) {
-        answerFailure(openRequest, ResultCode::AttemptTimeout);
+        answerFailure(openRequest, overdueCode(openRequest));
         return true;
     }
     return false;
@@ -423,7 +462,7 @@
         return true;
     }
     if (clock_.now() >= openRequest.deadlineAt) {
-        answerFailure(openRequest, ResultCode::AttemptTimeout);
+        answerFailure(openRequest, overdueCode(openRequest));
         return true;
     }
     return false;
@@ -458,6 +497,8 @@
         return;
     const bool mayHaveRun = openRequest.relay != 0 || openRequest.mayHaveRunElsewhere
         || std::any_of(openRequest.parts.begin(), openRequest.parts.end(), [](const Part& part) { return part.runs > 0 || part.group != 0; });
+    if (mayHaveRun && code == ResultCode::ShuttingDown)
+        code = ResultCode::AttemptTimeout;
     RouteAnswer answer;
     answer.code = code;
     answer.retryAfter = isQuarantined ? Millis(-1) : retryAfterFailure(openRequest);
--- a/src/request/dispatcher.h
+++ b/src/request/dispatcher.h
@@ -250,6 +250,10 @@
     bool activateTable(std::shared_ptr<const RouteTable> table);
     const std::shared_ptr<const RouteTable>& table() const { return table_; }
 
+    /// Begins a planned stop: all requests, open and future ones, are answered by `answerBy`. From now on, requests that
+    /// cannot be processed in the time that is left are refused.
+    void beginStop(TimePoint answerBy);
+
     /// Starts a request. `request` is an id of the caller's choice, which the answer repeats.
     void start(uint64_t request, ForwardedRequest forwarded);
     /// Gathers a group of shards for another instance. The group is answered when it is complete, or
@@ -361,6 +365,9 @@
     void addAnnouncements(const OpenRequest& openRequest, RouteAnswer& answer) const;
 
     std::unique_ptr<OpenRequest> makeRequest(uint64_t request, ForwardedRequest forwarded, const RouteSpec& route);
+    bool rejectWhileStopping(uint64_t request, const ForwardedRequest& forwarded, const RouteSpec& route);
+    void limitToStop(OpenRequest& openRequest) const;
+    static ResultCode overdueCode(const OpenRequest& openRequest);
     void reject(uint64_t request, const ForwardedRequest& forwarded, ResultCode code, Millis retryAfter, std::string trail = {});
     RouteState& routeStateOf(const RouteSpec& route);
     AllowedZones allowedZones(const RouteSpec& route) const { return { init_.regions, route.homeRegions }; }
@@ -444,6 +451,8 @@
     SubsetRule subset_;
     /// Capacity of the repeat budget for a service that all instances call.
     double repeatBurst_ = 1;
+    /// Time by which all requests are answered because this instance stops; the maximum while it does not.
+    TimePoint answerBy_ = TimePoint::max();
     std::deque<CallEvent> events_;
     bool isProcessingEvents_ = false;
     /// Last id that was given to a call, a group or a relay.
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -106,6 +106,8 @@
     /// Time at which a merged answer is sent if it has the minimum coverage.
     TimePoint softDeadlineAt {};
     TimePoint deadlineAt {};
+    /// The deadline was advanced because this instance stops.
+    bool isCutShort = false;
     TimePoint nextUpdateAt {};
     std::vector<Part> parts;
     /// Ids of the groups that have not ended.
--- a/src/request/dispatcher_relay.cpp
+++ b/src/request/dispatcher_relay.cpp
@@ -27,7 +27,7 @@
     {
         if (answer.status != kNotRun || answer.isReplicaReply)
             return false;
-        const bool isUnavailable = answer.code == ResultCode::NotReady || answer.code == ResultCode::Overloaded || isOutOfReach(answer.code);
+        const bool isUnavailable = answer.code == ResultCode::NotReady || answer.code == ResultCode::ShuttingDown || answer.code == ResultCode::Overloaded || isOutOfReach(answer.code);
         return isUnavailable || std::any_of(answer.missing.begin(), answer.missing.end(), [](const MissingPart& part) { return isOutOfReach(part.reason); });
     }
 
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -289,14 +290,15 @@
     require(gateway.lines("stopped"), "the stop is not logged")
 
 
-def ask_on_open_connections(gateway, count, spacing, ask):
+def ask_on_open_connections(gateway, count, spacing, ask, before_stop):
     """Opens `count` connections with one request each, sends SIGTERM, and asks once more on one after the other.
 
-    `ask(connection, name)` sends a request and returns its status. Returns pairs of the time after SIGTERM and the status or error.
+    `before_stop()` is called before SIGTERM. `ask(connection, name)` sends a request and returns its status. Returns pairs of the time after SIGTERM and the status or error.
     """
     connections = [http.client.HTTPConnection(HOST, gateway.caller, timeout=5) for _ in range(count)]
     for number, connection in enumerate(connections):
         require(ask(connection, f"first-{number}") == 200, "not served before SIGTERM")
+    before_stop()
     results, threads = {}, []
     start = time.monotonic()
     gateway.process.send_signal(signal.SIGTERM)
@@ -329,8 +331,11 @@
 # Guards against requests on open connections that are passed on late in the grace period and cut when the process ends.
 def stop_cuts_no_request(cluster):
     gateway = cluster.gateways[1]
-    for replica in cluster.replicas:
-        replica.delay = 0.25 if replica.service == "card" else 0.02
+
+    # From now on there is always a request open, so that the process cannot end early.
+    def slow_down():
+        for replica in cluster.replicas:
+            replica.delay = 0.2
 
     def ask(connection, name):
         path, method = ("/card/x", "POST") if int(name.split("-")[1]) % 2 else ("/all/q", "GET")
@@ -339,7 +344,7 @@
         response.read()
         return response.status
 
-    results = ask_on_open_connections(gateway, 110, 0.055, ask)
+    results = ask_on_open_connections(gateway, 110, 0.055, ask, slow_down)
     require(gateway.process.wait(2) == 0, "does not exit within the grace period")
     require_no_request_was_cut(cluster, results)
     unknown = [(name, sent) for name, (sent, result) in results.items() if result in (502, 504)]
@@ -348,10 +353,39 @@
     # worth starting while its latency target fits.
     latest = {name: 3.4 if int(name.split("-")[1]) % 2 else 4.6 for name in results}
     refused = [(name, result) for name, (sent, result) in results.items() if sent < latest[name] and result != 200]
+    require(any(result == 503 for _, result in results.values()), "no request came too late to be processed")
     require(not refused, f"not served though there was time: {refused[:5]}")
     require("reason=drained" in gateway.lines("stopped")[0], gateway.lines("stopped"))
 
 
+# Guards against pipelined requests that are read and then cut by the answer before them, and against signals and changes of
+# the configuration that disturb a stop.
+def stop_answers_pipelined_requests(cluster):
+    gateway = cluster.gateways[1]
+    cluster.configure([{"name": "old", "hostname": "app.example", "prefix": "/old/", "route_type": "idempotent", "timeout_ms": 1500, "target_latency_ms": 300, "backend": "card"}])
+    wait_for(lambda: gateway.request("/old/x", "x")[0] == 200, "the route is not served", 2)
+    for replica in cluster.replicas:
+        replica.delay = 0.1
+    paths = ["/all/q", "/old/x", "/card/x", "/none/x", "/all/q"]
+    with socket.create_connection((HOST, gateway.caller), timeout=5) as raw:
+        gateway.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not gateway.is_ready(), "still ready after SIGTERM", 1)
+        raw.sendall(b"".join(b"GET %s HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: p%d\r\nX-Deadline-Ms: 1500\r\n\r\n" % (path.encode(), n)
+                             for n, path in enumerate(paths)))
+        time.sleep(0.15)
+        gateway.process.send_signal(signal.SIGTERM)
+        gateway.process.send_signal(signal.SIGHUP)
+        cluster.configure()
+        received = b""
+        while chunk := raw.recv(65536):
+            received += chunk
+    statuses = [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+) ", received)]
+    require(statuses == [200, 200, 200, 404, 200], received)
+    require(received.count(b"Connection: close") == 1, received)
+    require(gateway.process.wait(6) == 0, "does not exit within the grace period")
+    require("reason=drained" in gateway.lines("stopped")[0], gateway.lines("stopped"))
+
+
 def suspended_instance_comes_back(cluster):
     gateway = cluster.gateways[2]
     gateway.process.send_signal(signal.SIGSTOP)
@@ -590,7 +624,7 @@
 
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
-         suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
+         stop_answers_pipelined_requests, suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
          crashing_request_is_refused, crashing_search_is_refused]
 # Options of `Cluster` for tests that need a different cluster.
 CLUSTER_OPTIONS = {divided_searches: {"gateways": 8, "processor_share": 0.001}, crashing_request_is_refused: {"gateways": 4, "cards": 6},
