A service of weight 0 gets no request, also as the first after a change

Callers saw, after a change of a route's weights, a first request run by a service that the configuration gives nothing. Cause: the start within the cycle gave a lead to services without weight, and the greatest one was taken.

--- a/src/request/weighted_round_robin.cpp
+++ b/src/request/weighted_round_robin.cpp
@@ -14,6 +14,13 @@
         return total;
     }
 
+    /// Returns the index of the first service with a weight; a route has at least one.
+    size_t firstWithWeight(const std::vector<ServiceShare>& shares)
+    {
+        const auto found = std::find_if(shares.begin(), shares.end(), [](const ServiceShare& share) { return share.weight > 0; });
+        return found == shares.end() ? 0 : static_cast<size_t>(found - shares.begin());
+    }
+
 } // namespace
 
 size_t WeightedRoundRobin::next(const std::vector<ServiceShare>& shares, double offset)
@@ -24,9 +31,13 @@
         reset(shares, offset);
     for (size_t i = 0; i < shares.size(); ++i)
         currentWeights_[i] += shares[i].weight;
-    const auto selected = std::max_element(currentWeights_.begin(), currentWeights_.end());
-    *selected -= totalWeight(shares);
-    return static_cast<size_t>(selected - currentWeights_.begin());
+    size_t selected = firstWithWeight(shares);
+    for (size_t i = selected + 1; i < shares.size(); ++i) {
+        if (shares[i].weight > 0 && currentWeights_[i] > currentWeights_[selected])
+            selected = i;
+    }
+    currentWeights_[selected] -= totalWeight(shares);
+    return selected;
 }
 
 bool WeightedRoundRobin::matches(const std::vector<ServiceShare>& shares) const
@@ -39,9 +50,15 @@
 {
     shares_ = shares;
     currentWeights_.assign(shares.size(), 0.0);
-    const double total = totalWeight(shares);
-    for (size_t i = 0; i < shares.size(); ++i)
-        currentWeights_[i] = (offset - 0.5) * total * (i == 0 ? 1.0 : -1.0 / static_cast<double>(shares.size() - 1));
+    const auto weighted = std::count_if(shares.begin(), shares.end(), [](const ServiceShare& share) { return share.weight > 0; });
+    if (weighted < 2)
+        return;
+    const double lead = (offset - 0.5) * totalWeight(shares);
+    const size_t first = firstWithWeight(shares);
+    for (size_t i = 0; i < shares.size(); ++i) {
+        if (shares[i].weight > 0)
+            currentWeights_[i] = i == first ? lead : -lead / static_cast<double>(weighted - 1);
+    }
 }
 
 } // namespace limpettrestle
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -261,6 +261,32 @@
     CHECK(std::abs(counts[2] - 10) <= 2);
 }
 
+// Guards against a service of weight 0 that gets the first request after a change of the weights.
+TEST_CASE("each service gets its share of the requests, and none without weight, for all weights and offsets")
+{
+    constexpr uint32_t kMaxWeight = 6;
+    constexpr int kOffsets = 20;
+    constexpr size_t kServices = 3;
+    for (uint32_t code = 1; code < kMaxWeight * kMaxWeight * kMaxWeight; ++code) {
+        const std::vector<ServiceShare> shares = { { "a", code % kMaxWeight }, { "b", code / kMaxWeight % kMaxWeight }, { "c", code / kMaxWeight / kMaxWeight } };
+        const uint32_t total = shares[0].weight + shares[1].weight + shares[2].weight;
+        for (int step = 0; step < kOffsets; ++step) {
+            WeightedRoundRobin cycle;
+            std::array<uint32_t, kServices> counts {};
+            for (uint32_t i = 0; i < total; ++i) {
+                const size_t selected = cycle.next(shares, static_cast<double>(step) / kOffsets);
+                REQUIRE(shares[selected].weight > 0);
+                ++counts[selected];
+            }
+            for (size_t i = 0; i < kServices; ++i) {
+                INFO(shares[0].weight << "," << shares[1].weight << "," << shares[2].weight << " offset " << step << " service " << i);
+                CHECK(counts[i] + 1 >= shares[i].weight);
+                CHECK(counts[i] <= shares[i].weight + 1);
+            }
+        }
+    }
+}
+
 TEST_CASE("a replica that loses replies is avoided for at-most-once requests")
 {
     RoutingTestBed bed;
