A stop counts its time from when it may have been requested

A review of the fix found that a stall of the loop around SIGTERM makes the schedule begin late, so that the process is killed before it has answered; that submissions with long timeouts were refused seconds before the end; and that SIGHUP before the loop runs ends the process. The schedule now begins when the loop last turned (delay_ms in the log), due answers are given before the process ends, a submission needs four latency targets, and SIGHUP is ignored until it can be handled.

--- a/src/gateway/gateway_shutdown.cpp
+++ b/src/gateway/gateway_shutdown.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    /// Interval of the maintenance timer during a stop, below the margins of the schedule for short grace periods.
+    constexpr Millis kStopMaintenancePeriod { 50 };
     /// Limit on the open requests that are logged when the process ends.
     constexpr size_t kMaxCutRequestsLogged = 64;
 
@@ -15,20 +17,25 @@
 {
     if (stop_.hasBegun())
         return;
-    stop_.begin(clock_.now(), settings_.grace);
+    // The signal may have waited since the loop last turned.
+    const Millis delay = std::chrono::duration_cast<Millis>(clock_.now() - lastMaintenanceAt_);
+    stop_.begin(lastMaintenanceAt_, settings_.grace);
     dispatcher_->beginStop(stop_.answerBy());
     callerServer_->setDraining();
-    log_.logger().info("event=shutdown_requested open_requests={} connections={}", dispatcher_->openRequests(), callerServer_->connections());
+    uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kStopMaintenancePeriod.count()));
+    log_.logger().info("event=shutdown_requested open_requests={} connections={} delay_ms={}", dispatcher_->openRequests(), callerServer_->connections(), delay.count());
 }
 
 void Gateway::finishShutdownIfDrained()
 {
     const TimePoint now = clock_.now();
-    if (!stop_.mayRefuseConnections(now))
+    if (!stop_.mayStopAccepting(now))
         return;
     // Callers that connect in spite of the readiness check are refused from now on, so that the open requests come to
     // an end before the grace period does.
     callerServer_->stopListening();
+    // Answers what is due, also when the loop was late.
+    dispatcher_->tick();
     const bool isDrained = dispatcher_->openRequests() == 0 && callerServer_->busyConnections() == 0;
     if (isDrained || stop_.mustExit(now))
         finishShutdown(isDrained ? "drained" : "grace_over");
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -3,6 +3,7 @@
 #include "../process/system_clock.h"
 #include "gateway.h"
 
+#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
 
@@ -40,6 +41,8 @@
 
 int main(int argc, char** argv)
 {
+    // Reloading is possible once the event loop runs; before, the signal must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     cxxopts::Options options("limpettrestle-gateway", "Entry instance that serves routes on a platform with a registry");
     options.add_options()("c,config", "Settings file, JSON with comments", cxxopts::value<std::string>())(
         "check", "Check the settings and exit")("v,version", "Print the version")("h,help", "Print this help");
--- a/src/process/stop_schedule.h
+++ b/src/process/stop_schedule.h
@@ -10,21 +10,22 @@
 
 class StopSchedule {
 public:
-    /// `grace`: time after which the platform kills the process.
-    void begin(TimePoint now, Millis grace)
+    /// `requestedAt`: earliest time at which the stop may have been requested. `grace`: time after the request at which the
+    /// platform kills the process.
+    void begin(TimePoint requestedAt, Millis grace)
     {
         hasBegun_ = true;
         const Millis margin = std::min(kAnswerMargin, grace / kMinAnswerMarginDivisor);
-        answerBy_ = now + grace - margin;
-        exitBy_ = now + grace - margin / kExitMarginDivisor;
-        earliestExit_ = std::min(now + kBalancerLag, answerBy_);
+        answerBy_ = requestedAt + grace - margin;
+        exitBy_ = requestedAt + grace - margin / kExitMarginDivisor;
+        earliestExit_ = std::min(requestedAt + kBalancerLag, answerBy_);
     }
 
     bool hasBegun() const { return hasBegun_; }
     /// Time at which every open request has been answered. Valid only after `begin()`.
     TimePoint answerBy() const { return answerBy_; }
-    /// True once the load balancer sends no new connections.
-    bool mayRefuseConnections(TimePoint now) const { return hasBegun_ && now >= earliestExit_; }
+    /// True once the load balancer sends no new connections, so that the process may end when nothing is open.
+    bool mayStopAccepting(TimePoint now) const { return hasBegun_ && now >= earliestExit_; }
     /// True when the process must end, whatever is open.
     bool mustExit(TimePoint now) const { return hasBegun_ && now >= exitBy_; }
 
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -27,6 +27,8 @@
     constexpr double kAggregatorShare = 0.4;
     /// Fraction of the usual burst that other instances keep for direct calls after an aggregator has failed.
     constexpr double kNonAggregatorShare = 0.5;
+    /// Latency targets that must fit before a stop when a request may run once at most.
+    constexpr int kAtMostOnceTargets = 4;
     /// No decision is added to a trail that is longer than this.
     constexpr size_t kMaxTrailBytes = 600;
     /// Initial mean duration of a call: the latency target divided by this.
@@ -180,16 +182,17 @@
 }
 
 /// Refuses a request that could not be processed before the stop. One that may be repeated is worth starting while its
-/// latency target fits; any other one must be able to take its whole timeout, or its outcome could remain unknown.
+/// latency target fits; any other one needs more time, since its outcome would remain unknown.
 bool Dispatcher::rejectWhileStopping(uint64_t request, const ForwardedRequest& forwarded, const RouteSpec& route)
 {
     if (answerBy_ == TimePoint::max())
         return false;
     const Millis callerTimeout = forwarded.callerTimeout > Millis::zero() ? std::min(forwarded.callerTimeout, route.timeout) : route.timeout;
-    const Millis needed = route.repeat == RepeatPolicy::Idempotent ? std::min(callerTimeout, route.latencyTarget) : callerTimeout;
+    const int targets = route.repeat == RepeatPolicy::Idempotent ? 1 : kAtMostOnceTargets;
+    const Millis needed = std::min(callerTimeout, route.latencyTarget * targets);
     if (clock_.now() + needed <= answerBy_)
         return false;
-    reject(request, forwarded, ResultCode::ShuttingDown, kShortRetryAfter);
+    reject(request, forwarded, ResultCode::ShuttingDown, kShortRetryAfter, fmt::format("stopping:{}", route.name));
     return true;
 }
 
--- a/src/request/dispatcher_p.h
+++ b/src/request/dispatcher_p.h
@@ -106,7 +106,7 @@
     /// Time at which a merged answer is sent if it has the minimum coverage.
     TimePoint softDeadlineAt {};
     TimePoint deadlineAt {};
-    /// The deadline was advanced because this instance stops.
+    /// The deadline was brought forward because this instance stops.
     bool isCutShort = false;
     TimePoint nextUpdateAt {};
     std::vector<Part> parts;
