Responses are delivered to callers that read slowly

Callers that read a large last response slowly were cut 1 s after it was ready, and a connection whose response waits in user space counted as idle, so that a stop or the idle timeout could cut it. Cause: the time limits of the server looked at the state of a connection, not at what it still has to send. A caller that reads nothing has the operator's idle timeout, or 1 s when more than 16 MB wait for slow callers.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,8 +14,12 @@
     constexpr int kBacklog = 512;
     /// TCP_USER_TIMEOUT: a caller that acknowledges no byte of its response for this long is considered dead.
     constexpr int kTcpUserTimeoutMs = 10000;
-    /// After its last response, a connection stays open for at most this long so that the caller can read all of it.
+    /// After its last response has been written, a connection stays open for at most this long so that the caller can read
+    /// and close it.
     constexpr Millis kLingerTime { 1000 };
+    /// Bytes of responses that may wait for slow callers. Beyond it, a caller that reads nothing for `kLingerTime` loses its
+    /// response; below, it has the idle timeout.
+    constexpr size_t kMaxUnsentBytes = 16 << 20;
     /// Limit on buffered bytes of pipelined requests per connection.
     constexpr size_t kMaxPipelinedBytes = 1 << 20;
 
@@ -79,18 +83,23 @@
     }
 
     /// Closes the connection when a time limit of its state has passed.
-    void checkTimeouts(TimePoint now)
+    void checkTimeouts(TimePoint now, Millis stallLimit)
     {
+        noteProgress(now);
         const Millis waited = std::chrono::duration_cast<Millis>(now - stateSince_);
         if (state_ == State::Reading && waited > server_->limits_.headerTimeout + (hasHeaders_ ? server_->limits_.idleTimeout : Millis(0))) {
             ++server_->stats_.timeouts;
             rejectRequest(408);
-        } else if ((state_ == State::Idle && waited > server_->limits_.idleTimeout) || (state_ == State::Lingering && waited > kLingerTime)) {
+        } else if ((state_ == State::Idle && waited > server_->limits_.idleTimeout) || (state_ == State::Lingering && waited > (unsentBytes_ > 0 ? stallLimit : kLingerTime))) {
             close();
         }
     }
 
-    bool isIdle() const { return state_ == State::Idle; }
+    /// True if the connection carries no request, and all responses have been written.
+    bool isIdle() const { return state_ == State::Idle && pendingWrites_ == 0; }
+
+    /// Bytes of responses that the socket has not accepted yet.
+    size_t unsentBytes() const { return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&socket_)); }
 
     void close()
     {
@@ -201,6 +210,15 @@
         respond(std::move(response));
     }
 
+    /// A caller that reads its response keeps the connection alive.
+    void noteProgress(TimePoint now)
+    {
+        const size_t unsent = unsentBytes();
+        if (unsent != unsentBytes_ && (state_ == State::Lingering || state_ == State::Idle))
+            stateSince_ = now;
+        unsentBytes_ = unsent;
+    }
+
     void startLingeringClose()
     {
         state_ = State::Lingering;
@@ -344,6 +362,8 @@
     size_t headerBytes_ = 0;
     int errorStatus_ = 0;
     int pendingWrites_ = 0;
+    /// Unsent bytes at the last check of the time limits.
+    size_t unsentBytes_ = 0;
     /// Bytes of pipelined requests that follow the current one.
     std::string pipelinedBytes_;
 };
@@ -398,9 +418,13 @@
     all.reserve(connections_.size());
     for (const auto& [id, connection] : connections_)
         all.push_back(connection);
+    size_t unsentBytes = 0;
+    for (const Connection* connection : all)
+        unsentBytes += connection->unsentBytes();
+    const Millis stallLimit = unsentBytes > kMaxUnsentBytes ? kLingerTime : std::max(kLingerTime, limits_.idleTimeout);
     // Closing one connection closes no other, so the pointers stay valid.
     for (Connection* connection : all)
-        connection->checkTimeouts(now);
+        connection->checkTimeouts(now, stallLimit);
 }
 
 void HttpServer::stopListening()
