An outage of the registry is forgotten when its reading stops

Cause: the flag of an outage stayed set when an instance stopped reading before a call had succeeded. The first success of a later reading, seconds after the outage, counted as its end, and removals were put off for two seconds.

A module without I/O, RegistryFreshness, now holds the failures and alone decides until when removals wait: not once reading has stopped, nor after a gap longer than the pause and timeout of a call (a suspension). A short suspension in an outage does not end the wait.

--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-    /// Replicas whose entries expired during an outage of the registry, or are missing from its copy, register again
-    /// within this time after it, and the operator writes again what its copy has lost.
-    constexpr Millis kReregistrationTime { 2000 };
-    /// No entry expires in a shorter outage: replicas report about every 1.2 s, and entries last for three reports.
-    constexpr Millis kMinOutageWithExpiry { 2000 };
     /// Source of the facts that were read from the registry.
     constexpr std::string_view kRegistrySource = "registry";
 
@@ -32,11 +27,6 @@
 {
 }
 
-void ClusterState::deferRemovals()
-{
-    directory_.deferRemovals(clock_.now() + kReregistrationTime);
-}
-
 void ClusterState::restartReading()
 {
     listedIds_.clear();
@@ -45,17 +35,15 @@
 
 void ClusterState::onRegistryRestored()
 {
-    keepEvacuationsUntil_ = clock_.now() + kReregistrationTime;
+    keepEvacuationsUntil_ = RegistryFreshness::registeredAgainAt(clock_.now());
     directory_.onRegistryRestored(clock_.now());
-    deferRemovals();
+    directory_.deferRemovals(keepEvacuationsUntil_);
 }
 
 void ClusterState::applyRegistry(std::vector<platform::StoreItem> items, const RegistrySync& sync, Millis previousAge)
 {
-    // If others have read the registry in the meantime, it was unavailable only to this instance, and the removals are
-    // those of replicas that left.
-    if (sync.hasRecovered() && previousAge >= kMinOutageWithExpiry)
-        deferRemovals();
+    if (const auto until = sync.freshness().removalsWaitUntil(clock_.now() - previousAge))
+        directory_.deferRemovals(*until);
     if (sync.hasStartedFullRead())
         restartReading();
     readEra_ = sync.era();
--- a/src/gateway/cluster_state.h
+++ b/src/gateway/cluster_state.h
@@ -56,7 +56,6 @@
     void applyItem(const platform::ZoneRestored& item);
     void applyItem(const platform::InvalidItem& item);
     void applyReplica(const ReplicaEntry& entry);
-    void deferRemovals();
     /// Ends the evacuations that the full read which has just been completed does not list.
     void endUnlistedEvacuations(const RegistrySync& sync);
     void mergeEvacuation(const std::string& zone, bool holds, FactVersion version);
--- a/src/gateway/registry_client.cpp
+++ b/src/gateway/registry_client.cpp
@@ -40,6 +40,7 @@
     }
     dropConnection();
     isCalling_ = false;
+    sync_.stop();
     uv_timer_stop(timer_);
 }
 
--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -23,6 +23,13 @@
 
 } // namespace
 
+RegistrySync::RegistrySync(const RegistryPollTiming& timing)
+    : pause_(timing.pause)
+    , hold_(timing.registryHold)
+    , freshness_(kMaxBackoff + std::max(kPageTimeout, hold_ + kHoldSlack))
+{
+}
+
 RegistryCall RegistrySync::nextCall() const
 {
     RegistryCall call;
@@ -42,7 +49,6 @@
 void RegistrySync::onCallFinished(const RegistryResult& result, TimePoint now)
 {
     hasCompletedFullRead_ = false;
-    hasRecovered_ = false;
     hasStartedFullRead_ = false;
     isLastAnswerDiscarded_ = false;
     if (!advanceEra(result.era, now)) {
@@ -58,7 +64,7 @@
         onFailure(result, now);
         return;
     }
-    recordSuccess();
+    recordSuccess(now);
     if (isLastAnswerDiscarded_)
         return;
     if (mode_ == Mode::FullRead)
@@ -67,9 +73,9 @@
         onChanges(result, now);
 }
 
-void RegistrySync::recordSuccess()
+void RegistrySync::recordSuccess(TimePoint now)
 {
-    hasRecovered_ = isUnavailable_;
+    freshness_.recordSuccess(now);
     isCaughtUp_ = false;
     isUnavailable_ = false;
     failures_ = 0;
@@ -140,6 +146,7 @@
     if (!isUnavailable_)
         unavailableSince_ = now;
     isUnavailable_ = true;
+    freshness_.recordFailure(now);
     if (now - unavailableSince_ >= kMaxUnavailableTime)
         startFullRead(now);
     const uint32_t step = std::min(failures_, kMaxBackoffSteps);
--- a/src/process/registry_sync.h
+++ b/src/process/registry_sync.h
@@ -2,6 +2,7 @@
 
 /// Keeps a copy of the registry up to date: decides which call to make next and when. Does no I/O.
 
+#include "registry_freshness.h"
 #include "registry_poll_timing.h"
 
 namespace limpettrestle {
@@ -53,11 +54,7 @@
 
 class RegistrySync {
 public:
-    explicit RegistrySync(const RegistryPollTiming& timing)
-        : pause_(timing.pause)
-        , hold_(timing.registryHold)
-    {
-    }
+    explicit RegistrySync(const RegistryPollTiming& timing);
 
     /// Time at which the next call is due. Valid only while no call is pending.
     TimePoint nextCallAt() const { return nextCallAt_; }
@@ -70,6 +67,8 @@
     bool hasStartedFullRead() const { return hasStartedFullRead_; }
     /// Starts a full read at once.
     void restart(TimePoint now);
+    /// Records that reading has stopped because the state of another instance is used.
+    void stop() { freshness_.recordStop(); }
 
     /// True when the last call completed a full read.
     bool hasCompletedFullRead() const { return hasCompletedFullRead_; }
@@ -78,7 +77,8 @@
     /// True after a failure until a call succeeds.
     bool isUnavailable() const { return isUnavailable_; }
     /// True when the last call was the first success after failures.
-    bool hasRecovered() const { return hasRecovered_; }
+    bool hasRecovered() const { return freshness_.hasRecovered(); }
+    const RegistryFreshness& freshness() const { return freshness_; }
     /// Highest era of all answers so far.
     uint64_t era() const { return era_; }
     uint64_t revision() const { return revision_; }
@@ -92,7 +92,7 @@
     void startFullRead(TimePoint at);
     /// Adopts the era of an answer. Returns false when the answer is from an earlier era.
     bool advanceEra(uint64_t era, TimePoint now);
-    void recordSuccess();
+    void recordSuccess(TimePoint now);
     void onPage(const RegistryResult& result, TimePoint now);
     void onChanges(const RegistryResult& result, TimePoint now);
     void onFailure(const RegistryResult& result, TimePoint now);
@@ -100,6 +100,7 @@
     /// Pause between two calls for changes.
     const Millis pause_;
     const Millis hold_;
+    RegistryFreshness freshness_;
     Mode mode_ = Mode::FullRead;
     TimePoint nextCallAt_ {};
     std::string afterKey_;
@@ -111,7 +112,6 @@
     uint32_t failures_ = 0;
     TimePoint unavailableSince_ {};
     bool isUnavailable_ = false;
-    bool hasRecovered_ = false;
     bool hasCompletedFullRead_ = false;
     bool isCaughtUp_ = false;
 };
