A replica whose removal is deferred is passed on only as such

Cause: a reader that alone had been cut off defers removals after its first read, and told followers a fresh age for a list that still named those replicas. Followers that had read the removal took them back with no later entry.

A reply now names the replicas whose removal is deferred, also by the reader's own source. A receiver that has seen one removed does not use it; the reader tells of its return as a change, also if it never stopped using it. On its own, against replies of earlier builds, a receiver takes back a replica whose removal it has read from the registry only with a later report, or when nobody has removed it for three seconds. A removal learned from another instance is not protected against an earlier build's list, because readers that have just started may know only a part.

--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -20,8 +20,10 @@
     , onConfig_(std::move(onConfig))
     , directory_([this, onRetire = std::move(onRetire)](const ReplicaPtr& replica) {
         onRetire(replica);
-        if (!replica->isListed)
-            changes_.replicaRemoved(replica->entry.id);
+        if (replica->isListed)
+            return;
+        deferredElsewhere_.erase(replica->entry.id);
+        changes_.replicaRemoved(replica->entry.id);
     })
     , changes_(static_cast<uint64_t>(std::random_device {}()) << 16 | 1)
 {
@@ -62,7 +64,7 @@
 void ClusterState::applyItem(const platform::ReplicaWritten& item)
 {
     listedIds_.insert(item.entry.id);
-    applyReplica(item.entry);
+    applyReplica(item.entry, ReplicaSource::Registry);
 }
 
 void ClusterState::applyItem(const platform::ReplicaRemoved& item)
@@ -102,6 +104,8 @@
 void ClusterState::tick()
 {
     directory_.tick(clock_.now());
+    for (const ReplicaEntry& entry : directory_.takeDueReadmissions(clock_.now()))
+        applyReplica(entry, ReplicaSource::Registry);
     facts_.expire(clock_.now());
     for (const SharedFact& fact : coldReplicaFacts(directory_, clock_.now()))
         mergeFact(fact, "");
@@ -163,41 +167,68 @@
     directory_.remove(item.replicaId, clock_.now());
 }
 
-void ClusterState::applyReplica(const ReplicaEntry& entry)
+void ClusterState::applyReplica(const ReplicaEntry& entry, ReplicaSource source)
 {
+    // Instances that did not use the replica while its removal was deferred must learn that it is back.
+    const bool wasDeferred = directory_.isRemovalDeferred(entry.id) || deferredElsewhere_.erase(entry.id) != 0;
     const ReplicaPtr before = directory_.find(entry.id);
     const ReplicaState previousState = before ? before->entry.state : ReplicaState::Ready;
-    const bool hasWarmupChanged = directory_.apply(entry, clock_.now());
+    const bool hasWarmupChanged = directory_.apply(entry, clock_.now(), source);
     const ReplicaPtr after = directory_.find(entry.id);
     if (!after) {
         log_.info("event=replica id={} service={} state=not_readmitted born={} seq={}", entry.id, entry.service, entry.startedAt, entry.sequence);
         return;
     }
     const bool isSameState = before == after && after->entry.state == previousState;
-    if (!isSameState || hasWarmupChanged)
+    const bool isBack = wasDeferred && !directory_.isRemovalDeferred(entry.id);
+    if (!isSameState || hasWarmupChanged || isBack)
         changes_.replicaWritten(entry.id);
     if (isComplete_ && !isSameState)
         log_.info("event=replica id={} service={} state={} born={} seq={}", entry.id, entry.service, name(entry.state), entry.startedAt, entry.sequence);
 }
 
+void ClusterState::applyPeerReplica(const ReplicaEntry& entry, bool isDeferred)
+{
+    if (!isDeferred) {
+        applyReplica(entry, ReplicaSource::Instance);
+        return;
+    }
+    if (directory_.hasDeparted(entry.id) || directory_.isRemovalDeferred(entry.id))
+        return;
+    applyReplica(entry, ReplicaSource::Instance);
+    if (directory_.find(entry.id))
+        deferredElsewhere_.insert(entry.id);
+}
+
+std::vector<std::string> ClusterState::deferredRemovals() const
+{
+    std::vector<std::string> ids = directory_.deferredRemovals();
+    for (const std::string& id : deferredElsewhere_) {
+        if (!directory_.isRemovalDeferred(id))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 void ClusterState::applyPeer(const ChangesReply& reply)
 {
+    const absl::flat_hash_set<std::string> deferred(reply.deferred.begin(), reply.deferred.end());
     if (era_ != 0 && reply.era > era_)
         onRegistryRestored();
     era_ = std::max(era_, reply.era);
     for (const ReplicaEntry& entry : reply.written)
-        applyReplica(entry);
+        applyPeerReplica(entry, deferred.contains(entry.id));
     for (const std::string& id : reply.removed) {
         if (isComplete_ && directory_.find(id))
             log_.info("event=replica id={} state=removed reader={}", id, reply.sender);
-        directory_.remove(id, clock_.now());
+        directory_.remove(id, clock_.now(), ReplicaSource::Instance);
     }
     if (!reply.isFullSnapshot)
         return;
     absl::flat_hash_set<std::string> listedIds;
     for (const ReplicaEntry& entry : reply.written)
         listedIds.insert(entry.id);
-    directory_.retainOnly(listedIds, clock_.now());
+    directory_.retainOnly(listedIds, clock_.now(), ReplicaSource::Instance);
     isComplete_ = true;
 }
 
--- a/src/gateway/cluster_state.h
+++ b/src/gateway/cluster_state.h
@@ -45,6 +45,8 @@
     void applyPeer(const ChangesReply& reply);
     /// Applies the shared facts of another instance's reply, whatever the age of its replicas.
     void applyFacts(const std::vector<FactEntry>& entries, const std::string& sender);
+    /// Returns the replicas that are used only because their removal is deferred, here or at the instance that listed them.
+    std::vector<std::string> deferredRemovals() const;
     /// Performs what was deferred and is due. Must be called periodically.
     void tick();
 
@@ -55,7 +57,9 @@
     void applyItem(const platform::ZoneEvacuated& item);
     void applyItem(const platform::ZoneRestored& item);
     void applyItem(const platform::InvalidItem& item);
-    void applyReplica(const ReplicaEntry& entry);
+    void applyReplica(const ReplicaEntry& entry, ReplicaSource source);
+    /// Applies an entry of another instance's reply. `isDeferred`: that instance has deferred its removal.
+    void applyPeerReplica(const ReplicaEntry& entry, bool isDeferred);
     /// Ends the evacuations that the full read which has just been completed does not list.
     void endUnlistedEvacuations(const RegistrySync& sync);
     void mergeEvacuation(const std::string& zone, bool holds, FactVersion version);
@@ -68,6 +72,8 @@
     ConfigHandler onConfig_;
     ReplicaDirectory directory_;
     ChangeLog changes_;
+    /// Replicas whose removal is deferred at the instance that listed them.
+    absl::flat_hash_set<std::string> deferredElsewhere_;
     /// IDs of the replicas seen so far by the current full read of the registry.
     absl::flat_hash_set<std::string> listedIds_;
     /// Evacuated zones seen so far by the current full read of the registry.
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -123,6 +123,7 @@
         reply.written.back().warmupLeft = std::max(Millis(0), std::chrono::ceil<Millis>(replica->warmup.reportedUntil() - now));
     }
     reply.removed = changes.removed;
+    reply.deferred = state_.deferredRemovals();
     if (request.quarantineDigest && *request.quarantineDigest != crashLedger_.digest())
         reply.quarantines = crashLedger_.quarantines(kMaxQuarantineEntries, now);
     addFacts(request, reply);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -244,6 +244,8 @@
         { "sender", reply.sender }, { "following", reply.following }, { "fleet", reply.fleet }, { "instances_digest", reply.instancesDigest }, { "written", written }, { "removed", reply.removed } };
     if (reply.config)
         root["config"] = encodeConfig(*reply.config);
+    if (!reply.deferred.empty())
+        root["deferred"] = reply.deferred;
     if (!reply.quarantines.empty())
         root["quarantines"] = encodeQuarantines(reply.quarantines);
     if (reply.factsDigest)
@@ -282,6 +284,7 @@
         for (const json& entry : root.at("written"))
             reply.written.push_back(decodeEntry(entry));
         reply.removed = root.at("removed").get<std::vector<std::string>>();
+        reply.deferred = root.value("deferred", std::vector<std::string>());
         if (root.contains("config")) {
             reply.config = decodeConfig(root["config"]);
             if (!findRoutingProblem(*reply.config).empty())
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -63,6 +63,8 @@
     std::vector<ReplicaEntry> written;
     /// IDs of replicas that were removed.
     std::vector<std::string> removed;
+    /// IDs of replicas that the sender uses only because it has deferred their removal. Earlier builds do not tell.
+    std::vector<std::string> deferred;
     /// Latest quarantines of the sender; empty when the requester has the same ones.
     std::vector<QuarantineEntry> quarantines;
     /// Digest of the sender's shared facts; unset when the sender has not read them, or the requester does not apply them.
--- a/src/process/replica_directory.cpp
+++ b/src/process/replica_directory.cpp
@@ -10,6 +10,9 @@
     constexpr Millis kDepartedTtl { 300000 };
     /// Limit on remembered replicas, more than a rollout of a large deployment replaces in that time.
     constexpr size_t kMaxDeparted = 4096;
+    /// Time after which a replica is used again that another instance lists although its removal was read: longer than
+    /// an instance defers removals, and than a state is used without a newer one.
+    constexpr Millis kReadmissionDelay { 3000 };
 
     /// True when the report is older than the known one.
     bool isOlder(const ReplicaEntry& report, const ReplicaEntry& known)
@@ -26,19 +29,19 @@
 
 } // namespace
 
-bool ReplicaDirectory::apply(const ReplicaEntry& entry, TimePoint now)
+bool ReplicaDirectory::apply(const ReplicaEntry& entry, TimePoint now, ReplicaSource source)
 {
-    deferred_.erase(entry.id);
+    endDeferral(entry, source);
     const auto found = byId_.find(entry.id);
     if (found == byId_.end()) {
-        readmit(entry, now);
+        readmit(entry, now, source);
         return false;
     }
     const ReplicaPtr replica = found->second;
     if (isOlder(entry, replica->entry))
         return false;
     if (!isSameRun(entry, replica->entry)) {
-        drop(entry.id, now);
+        drop(entry.id, now, source);
         departed_.erase(entry.id);
         add(entry, now);
         return false;
@@ -52,6 +55,17 @@
     return isNewer && recordWarmup(replica, now);
 }
 
+/// Ends the deferral of a removal. What the registry no longer lists stays deferred until it comes with a later report.
+void ReplicaDirectory::endDeferral(const ReplicaEntry& entry, ReplicaSource source)
+{
+    const auto found = deferred_.find(entry.id);
+    if (found == deferred_.end())
+        return;
+    const bool isRepeated = source == ReplicaSource::Instance && found->second == ReplicaSource::Registry;
+    if (!isRepeated || isOlder(byId_.at(entry.id)->entry, entry))
+        deferred_.erase(found);
+}
+
 /// Records the remaining warm-up time of a new report.
 bool ReplicaDirectory::recordWarmup(const ReplicaPtr& replica, TimePoint now)
 {
@@ -114,26 +128,30 @@
         onRetire_(replica);
 }
 
-void ReplicaDirectory::remove(const std::string& id, TimePoint now)
+void ReplicaDirectory::remove(const std::string& id, TimePoint now, ReplicaSource source)
 {
+    held_.erase(id);
     if (!byId_.contains(id))
         return;
-    if (now < deferUntil_) {
-        deferred_.insert(id);
+    if (now >= deferUntil_) {
+        drop(id, now, source);
         return;
     }
-    drop(id, now);
+    const auto [deferred, isNew] = deferred_.try_emplace(id, source);
+    if (source == ReplicaSource::Registry)
+        deferred->second = source;
 }
 
-void ReplicaDirectory::retainOnly(const absl::flat_hash_set<std::string>& ids, TimePoint now)
+void ReplicaDirectory::retainOnly(const absl::flat_hash_set<std::string>& ids, TimePoint now, ReplicaSource source)
 {
+    absl::erase_if(held_, [&ids](const auto& held) { return !ids.contains(held.first); });
     std::vector<std::string> missing;
     for (const auto& [id, replica] : byId_) {
         if (!ids.contains(id))
             missing.push_back(id);
     }
     for (const std::string& id : missing)
-        remove(id, now);
+        remove(id, now, source);
 }
 
 void ReplicaDirectory::tick(TimePoint now)
@@ -141,10 +159,30 @@
     forgetDeparted(now);
     if (deferred_.empty() || now < deferUntil_)
         return;
-    const absl::flat_hash_set<std::string> due = std::move(deferred_);
+    const absl::flat_hash_map<std::string, ReplicaSource> due = std::move(deferred_);
     deferred_.clear();
-    for (const std::string& id : due)
-        drop(id, now);
+    for (const auto& [id, source] : due)
+        drop(id, now, source);
+}
+
+std::vector<std::string> ReplicaDirectory::deferredRemovals() const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, source] : deferred_)
+        ids.push_back(id);
+    return ids;
+}
+
+std::vector<ReplicaEntry> ReplicaDirectory::takeDueReadmissions(TimePoint now)
+{
+    std::vector<ReplicaEntry> due;
+    for (const auto& [id, held] : held_) {
+        if (now >= held.until)
+            due.push_back(held.entry);
+    }
+    for (const ReplicaEntry& entry : due)
+        held_.erase(entry.id);
+    return due;
 }
 
 const std::vector<ReplicaPtr>& ReplicaDirectory::replicasOf(const std::string& service) const
@@ -169,7 +207,7 @@
 }
 
 /// Adds a replica that is not listed. A run that was listed before keeps its health and its announcements.
-void ReplicaDirectory::readmit(const ReplicaEntry& entry, TimePoint now)
+void ReplicaDirectory::readmit(const ReplicaEntry& entry, TimePoint now, ReplicaSource source)
 {
     const auto found = departed_.find(entry.id);
     if (found == departed_.end()) {
@@ -181,6 +219,11 @@
     const bool isEarlierRun = entry.startedAt < replica->entry.startedAt;
     if (isEarlierRun || (mayBeCopied && !isOlder(replica->entry, entry)))
         return;
+    const bool isRepeated = source == ReplicaSource::Instance && found->second.source == ReplicaSource::Registry;
+    if (isRepeated && !isOlder(replica->entry, entry)) {
+        held_.try_emplace(entry.id, HeldEntry { entry, now + kReadmissionDelay });
+        return;
+    }
     departed_.erase(found);
     if (!isSameRun(entry, replica->entry)) {
         add(entry, now);
@@ -198,11 +241,12 @@
 void ReplicaDirectory::insert(const ReplicaPtr& replica)
 {
     replica->isEvacuated = evacuatedZones_.contains(replica->entry.zone);
+    held_.erase(replica->entry.id);
     byId_[replica->entry.id] = replica;
     byService_[replica->entry.service].push_back(replica);
 }
 
-void ReplicaDirectory::drop(const std::string& id, TimePoint now)
+void ReplicaDirectory::drop(const std::string& id, TimePoint now, ReplicaSource source)
 {
     const auto found = byId_.find(id);
     if (found == byId_.end())
@@ -211,7 +255,7 @@
     byId_.erase(found);
     std::erase(byService_[replica->entry.service], replica);
     replica->isListed = false;
-    departed_[id] = { replica, now };
+    departed_[id] = { replica, now, source };
     departures_.emplace_back(now, id);
     forgetDeparted(now);
     onRetire_(replica);
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -41,6 +41,14 @@
 
 using ReplicaPtr = std::shared_ptr<Replica>;
 
+/// Origin of what is known about a replica.
+enum class ReplicaSource : uint8_t {
+    /// An answer of the registry to this instance.
+    Registry,
+    /// A reply of another instance, whose state may be older or keep replicas whose removal is deferred.
+    Instance,
+};
+
 class ReplicaDirectory {
 public:
     /// Called when a replica stops accepting work.
@@ -56,8 +64,10 @@
     void setColdHandler(ColdHandler onCold) { onCold_ = std::move(onCold); }
 
     /// Applies a report of a replica about itself. Reports older than the known one are ignored. Returns true when its
-    /// warm-up has changed so that other instances must receive the report; see `Warmup::recordReport()`.
-    bool apply(const ReplicaEntry& entry, TimePoint now);
+    /// warm-up has changed so that other instances must receive the report; see `Warmup::recordReport()`. A replica whose
+    /// removal this instance has read from the registry is not used again on another instance's word without a later
+    /// report, unless its removal is not repeated for some time; see `takeDueReadmissions()`.
+    bool apply(const ReplicaEntry& entry, TimePoint now, ReplicaSource source = ReplicaSource::Registry);
     /// Records the remaining warm-up time in a reply of the replica.
     void noteReply(const ReplicaPtr& replica, Millis warmupLeft, TimePoint now);
     /// Records the end of a warm-up that another instance has learned from a reply.
@@ -70,10 +80,10 @@
     void setEvacuatedZones(absl::flat_hash_set<std::string> zones);
     const absl::flat_hash_set<std::string>& evacuatedZones() const { return evacuatedZones_; }
     /// Removes a replica that the registry no longer lists, or defers the removal (see `deferRemovals()`).
-    void remove(const std::string& id, TimePoint now);
+    void remove(const std::string& id, TimePoint now, ReplicaSource source = ReplicaSource::Registry);
 
-    /// Applies a full read of the registry: removes all replicas that are not in `ids`.
-    void retainOnly(const absl::flat_hash_set<std::string>& ids, TimePoint now);
+    /// Applies a full list of replicas: removes all replicas that are not in `ids`.
+    void retainOnly(const absl::flat_hash_set<std::string>& ids, TimePoint now, ReplicaSource source = ReplicaSource::Registry);
 
     /// From now on, replicas that have been removed return only with a later report: the registry was restored from a
     /// copy, in which their old entries may come back.
@@ -83,6 +93,14 @@
     void deferRemovals(TimePoint until) { deferUntil_ = until; }
     /// Performs the deferred removals that are due.
     void tick(TimePoint now);
+    /// True while the removal of a replica is deferred.
+    bool isRemovalDeferred(const std::string& id) const { return deferred_.contains(id); }
+    /// Returns the replicas whose removal is deferred.
+    std::vector<std::string> deferredRemovals() const;
+    /// True when the replica was removed a short time ago and has not returned.
+    bool hasDeparted(const std::string& id) const { return departed_.contains(id); }
+    /// Returns the entries that were not readmitted and that no instance has removed since; they can be applied now.
+    std::vector<ReplicaEntry> takeDueReadmissions(TimePoint now);
 
     /// Returns the replicas of a service, including those that accept no work at present.
     const std::vector<ReplicaPtr>& replicasOf(const std::string& service) const;
@@ -94,14 +112,22 @@
     struct DepartedReplica {
         ReplicaPtr replica;
         TimePoint at {};
+        ReplicaSource source = ReplicaSource::Registry;
+    };
+
+    /// Entry of a removed replica that another instance has listed.
+    struct HeldEntry {
+        ReplicaEntry entry;
+        TimePoint until {};
     };
 
     void add(const ReplicaEntry& entry, TimePoint now);
     bool recordWarmup(const ReplicaPtr& replica, TimePoint now);
     void notifyIfProlonged(const ReplicaPtr& replica, TimePoint before, TimePoint now);
-    void readmit(const ReplicaEntry& entry, TimePoint now);
+    void readmit(const ReplicaEntry& entry, TimePoint now, ReplicaSource source);
+    void endDeferral(const ReplicaEntry& entry, ReplicaSource source);
     void insert(const ReplicaPtr& replica);
-    void drop(const std::string& id, TimePoint now);
+    void drop(const std::string& id, TimePoint now, ReplicaSource source);
     void forgetDeparted(TimePoint now);
 
     RetireHandler onRetire_;
@@ -111,7 +137,9 @@
     absl::flat_hash_map<std::string, std::vector<ReplicaPtr>> byService_;
     TimePoint deferUntil_ {};
     TimePoint restoredAt_ {};
-    absl::flat_hash_set<std::string> deferred_;
+    /// Replicas whose removal is deferred, with its source.
+    absl::flat_hash_map<std::string, ReplicaSource> deferred_;
+    absl::flat_hash_map<std::string, HeldEntry> held_;
     /// Replicas that were removed a short time ago, by id.
     absl::flat_hash_map<std::string, DepartedReplica> departed_;
     /// IDs in the order of their removal.
--- a/tests/registry_freshness_test.cpp
+++ b/tests/registry_freshness_test.cpp
@@ -61,3 +61,145 @@
     bed.wait(Millis(200));
     CHECK_FALSE(bed.isUsed("a"));
 }
+
+namespace {
+
+/// Full list of the replicas of an instance, as sent to a follower; an earlier build names no deferred removals.
+ChangesReply listOf(const StateTestBed& bed, bool isEarlierBuild = false)
+{
+    ChangesReply reply;
+    reply.isFullSnapshot = true;
+    for (const auto& [id, replica] : bed.state.directory().all())
+        reply.written.push_back(replica->entry);
+    if (!isEarlierBuild)
+        reply.deferred = bed.state.deferredRemovals();
+    return *decodeReply(encode(reply));
+}
+
+/// The changes of an instance after `position`.
+ChangesReply changesOf(const StateTestBed& bed, ChangePosition position)
+{
+    const ChangeSet changes = bed.state.changes().changesAfter(position);
+    ChangesReply reply;
+    for (const std::string& id : changes.written)
+        reply.written.push_back(bed.state.directory().find(id)->entry);
+    reply.removed = changes.removed;
+    reply.deferred = bed.state.deferredRemovals();
+    return reply;
+}
+
+void waitAll(std::initializer_list<StateTestBed*> beds, Millis time)
+{
+    for (StateTestBed* bed : beds) {
+        bed->clock.advance(time);
+        bed->state.tick();
+    }
+}
+
+/// The seed was cut off alone, and has deferred the removal of replica a, which others have read.
+struct SeedAfterCut : TwoReplicas {
+    SeedAfterCut()
+    {
+        failFor(Millis(3500));
+        sync.restart(clock.now());
+        receive(answer(5, 420), { written(entryOf("b", 54)) }, Millis(3500));
+        REQUIRE(isUsed("a"));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a replica whose removal was read is not used again because a reader defers the removal")
+{
+    for (const bool isEarlierBuild : { false, true }) {
+        INFO(isEarlierBuild);
+        SeedAfterCut seed;
+        TwoReplicas follower;
+        follower.readWithoutA(Millis(1000));
+        REQUIRE_FALSE(follower.isUsed("a"));
+        follower.state.applyPeer(listOf(seed, isEarlierBuild));
+        CHECK_FALSE(follower.isUsed("a"));
+        CHECK(follower.isUsed("b"));
+        const ChangePosition position = seed.state.changes().position();
+        waitAll({ &seed, &follower }, Millis(2100));
+        follower.state.applyPeer(changesOf(seed, position));
+        waitAll({ &seed, &follower }, Millis(5000));
+        CHECK_FALSE(follower.isUsed("a"));
+        CHECK_FALSE(seed.isUsed("a"));
+    }
+}
+
+TEST_CASE("a replica whose removal another reader told is not used again because a reader defers the removal")
+{
+    SeedAfterCut seed;
+    TwoReplicas follower;
+    ChangesReply removal;
+    removal.removed = { "a" };
+    follower.state.applyPeer(removal);
+    REQUIRE_FALSE(follower.isUsed("a"));
+    follower.state.applyPeer(listOf(seed));
+    CHECK_FALSE(follower.isUsed("a"));
+}
+
+TEST_CASE("followers use a replica again as soon as its reader has read its return")
+{
+    SeedAfterCut seed;
+    TwoReplicas follower;
+    follower.readWithoutA(Millis(1000));
+    follower.state.applyPeer(listOf(seed));
+    REQUIRE_FALSE(follower.isUsed("a"));
+    const ChangePosition position = seed.state.changes().position();
+    seed.receive(answer(5, 421), { StateTestBed::written(entryOf("a", 53)) });
+    follower.state.applyPeer(changesOf(seed, position));
+    CHECK(follower.isUsed("a"));
+    CHECK(seed.state.deferredRemovals().empty());
+    waitAll({ &seed, &follower }, Millis(2100));
+    CHECK(seed.isUsed("a"));
+    CHECK(follower.isUsed("a"));
+}
+
+TEST_CASE("an instance that has not seen a replica leave uses it while its reader defers the removal, and passes that on")
+{
+    SeedAfterCut seed;
+    StateTestBed starting;
+    starting.state.applyPeer(listOf(seed));
+    CHECK(starting.isUsed("a"));
+    TwoReplicas follower;
+    follower.readWithoutA(Millis(1000));
+    follower.state.applyPeer(listOf(starting));
+    CHECK_FALSE(follower.isUsed("a"));
+    const ChangePosition position = seed.state.changes().position();
+    seed.wait(Millis(2100));
+    starting.state.applyPeer(changesOf(seed, position));
+    CHECK_FALSE(starting.isUsed("a"));
+}
+
+TEST_CASE("a replica that an earlier build goes on listing is used again after a wait, unless it is removed again")
+{
+    for (const bool isRemovedAgain : { false, true }) {
+        INFO(isRemovedAgain);
+        TwoReplicas reader;
+        TwoReplicas follower;
+        follower.readWithoutA(Millis(1000));
+        follower.state.applyPeer(listOf(reader, true));
+        waitAll({ &follower }, Millis(2500));
+        CHECK_FALSE(follower.isUsed("a"));
+        if (isRemovedAgain) {
+            ChangesReply removal;
+            removal.removed = { "a" };
+            follower.state.applyPeer(removal);
+        }
+        waitAll({ &follower }, Millis(1000));
+        CHECK(follower.isUsed("a") != isRemovedAgain);
+    }
+}
+
+TEST_CASE("a later report that another instance forwards is evidence that a removed replica is back")
+{
+    TwoReplicas follower;
+    follower.readWithoutA(Millis(1000));
+    ChangesReply reply;
+    reply.written = { entryOf("a", 51) };
+    follower.state.applyPeer(reply);
+    CHECK(follower.isUsed("a"));
+}
