Odd entries of other writers neither end nor stop an instance

Callers saw instances end again and again, or go on with an old list, after another writer had left one odd entry beside those of the replicas. Keys are escaped in the log. - What an earlier build accepts, it sends to others: such an entry or configuration in a reader's message is left out, and the rest of the message is used.

--- a/src/gateway/bounded_json.cpp
+++ b/src/bounded_json.cpp
@@ -6,8 +6,8 @@
 
     using nlohmann::json;
 
-    /// Limit on nested arrays and objects; messages between instances have three levels.
-    constexpr int kMaxDepth = 16;
+    /// Limit on nested arrays and objects, which no message or item of the project approaches.
+    constexpr int kMaxDepth = 64;
 
     /// Builds a value like the library's own handler, and stops at the depth limit.
     class BoundedHandler final : public nlohmann::detail::json_sax_dom_parser<json> {
@@ -34,14 +34,25 @@
         int depth_ = 0;
     };
 
+    json decode(const std::string& bytes, json::input_format_t format)
+    {
+        json root;
+        BoundedHandler handler(root);
+        if (!json::sax_parse(bytes, &handler, format))
+            return json(json::value_t::discarded);
+        return root;
+    }
+
 } // namespace
 
+json parseBoundedJson(const std::string& text)
+{
+    return decode(text, json::input_format_t::json);
+}
+
 json decodeMessagePack(const std::string& bytes)
 {
-    json root;
-    BoundedHandler handler(root);
-    const bool isComplete = json::sax_parse(bytes, &handler, json::input_format_t::msgpack);
-    return isComplete ? root : json(json::value_t::discarded);
+    return decode(bytes, json::input_format_t::msgpack);
 }
 
 } // namespace limpettrestle
--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -2,6 +2,7 @@
 
 #include "../process/cold_replicas.h"
 
+#include <absl/strings/escaping.h>
 #include <algorithm>
 #include <random>
 
@@ -168,7 +169,7 @@
 
 void ClusterState::applyItem(const platform::InvalidItem& item)
 {
-    log_.warn("event=registry_item_refused key={} problem=\"{}\"", item.key, item.problem);
+    log_.warn("event=registry_item_refused key={} problem=\"{}\"", absl::Utf8SafeCHexEscape(item.key), absl::Utf8SafeCHexEscape(item.problem));
     if (item.replicaId.empty())
         return;
     listedIds_.erase(item.replicaId);
--- a/src/gateway/crash_messages.cpp
+++ b/src/gateway/crash_messages.cpp
@@ -1,5 +1,7 @@
 #include "crash_messages.h"
 
+#include "../bounded_json.h"
+
 #include <algorithm>
 
 namespace limpettrestle {
@@ -39,7 +41,7 @@
 {
     // nlohmann::json throws when a field is missing or has the wrong type.
     try {
-        const json root = json::parse(text);
+        const json root = parseBoundedJson(text);
         CrashNotice notice { root.at("sender").get<std::string>(), root.at("zone").get<std::string>(), {}, {} };
         const json& reports = root.at("crashes");
         const json& cleared = root.at("cleared");
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -1,6 +1,6 @@
 #include "gather_messages.h"
 
-#include "bounded_json.h"
+#include "../bounded_json.h"
 #include "message_pack.h"
 
 #include <cmath>
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -1,8 +1,12 @@
 #include "peer_messages.h"
 
+#include "../bounded_json.h"
 #include "../net/http_message.h"
+#include "../process/replica_entry.h"
+#include "../stated_time.h"
 #include "../version/route_table.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -27,22 +31,39 @@
         return json::array({ entry.id, entry.service, entry.host, entry.port, entry.zone, entry.slots, static_cast<int>(entry.state), entry.warmupLeft.count(), entry.startedAt, entry.sequence });
     }
 
-    ReplicaEntry decodeEntry(const json& value)
+    /// Returns no value when the entry cannot be used, such as one that an earlier build has accepted.
+    std::optional<ReplicaEntry> decodeEntry(const json& value)
     {
+        const std::optional<int> port = integerOf<int>(value.at(3));
+        const std::optional<uint32_t> slots = integerOf<uint32_t>(value.at(5));
+        const std::optional<int64_t> warmupMs = integerOf<int64_t>(value.at(7));
+        const std::optional<int64_t> startedAt = integerOf<int64_t>(value.at(8));
+        const std::optional<uint64_t> sequence = integerOf<uint64_t>(value.at(9));
+        if (!port || !slots || !warmupMs || !startedAt || !sequence)
+            return std::nullopt;
         ReplicaEntry entry;
         entry.id = value.at(0).get<std::string>();
         entry.service = value.at(1).get<std::string>();
         entry.host = value.at(2).get<std::string>();
-        entry.port = value.at(3).get<int>();
+        entry.port = *port;
         entry.zone = value.at(4).get<std::string>();
-        entry.slots = value.at(5).get<uint32_t>();
+        entry.slots = *slots;
         entry.state = value.at(6).get<int>() == 0 ? ReplicaState::Ready : ReplicaState::Draining;
-        entry.warmupLeft = Millis(value.at(7).get<int64_t>());
-        entry.startedAt = value.at(8).get<int64_t>();
-        entry.sequence = value.at(9).get<uint64_t>();
+        entry.warmupLeft = Millis(*warmupMs);
+        entry.startedAt = *startedAt;
+        entry.sequence = *sequence;
+        if (!findEntryProblem(entry).empty())
+            return std::nullopt;
         return entry;
     }
 
+    /// Adds an entry to the reply, unless it cannot be used: the others are no worse for it.
+    void addEntry(const json& value, ChangesReply& reply)
+    {
+        if (std::optional<ReplicaEntry> entry = decodeEntry(value))
+            reply.written.push_back(std::move(*entry));
+    }
+
     json encodeInstances(const std::vector<InstanceInfo>& instances)
     {
         json list = json::array();
@@ -165,7 +186,7 @@
 {
     // nlohmann::json throws when a field is missing or has the wrong type.
     try {
-        const json root = json::parse(text);
+        const json root = parseBoundedJson(text);
         ReachNotice notice { root.at("sender").get<std::string>(), root.at("zones").get<std::vector<std::string>>() };
         if (notice.zones.size() > kMaxNoticeZones)
             return std::nullopt;
@@ -259,14 +280,14 @@
 {
     // nlohmann::json throws when a field is missing or has the wrong type.
     try {
-        const json root = json::parse(text);
+        const json root = parseBoundedJson(text);
         ChangesReply reply;
         reply.upTo = { root.at("run").get<uint64_t>(), root.at("number").get<uint64_t>() };
         reply.isFullSnapshot = root.at("whole").get<bool>();
         reply.includesReplicas = root.value("replicas", true);
         // Instances of earlier releases do not send this field.
         reply.era = root.value("era", uint64_t { 0 });
-        reply.age = Millis(std::max<int64_t>(0, root.at("age_ms").get<int64_t>()));
+        reply.age = std::clamp<Millis>(Millis(root.at("age_ms").get<int64_t>()), Millis(0), kMaxStatedTime);
         reply.sender = root.at("sender").get<std::string>();
         reply.following = root.at("following").get<uint32_t>();
         reply.fleet = root.at("fleet").get<uint32_t>();
@@ -280,12 +301,13 @@
         if (root.contains("facts"))
             reply.facts = decodeFacts(root["facts"]);
         for (const json& entry : root.at("written"))
-            reply.written.push_back(decodeEntry(entry));
+            addEntry(entry, reply);
         reply.removed = root.at("removed").get<std::vector<std::string>>();
         if (root.contains("config")) {
             reply.config = decodeConfig(root["config"]);
+            // An earlier build may have accepted what this one refuses; the replicas are followed nevertheless.
             if (!findRoutingProblem(*reply.config).empty())
-                return std::nullopt;
+                reply.config.reset();
         }
         return reply;
     } catch (const json::exception&) {
--- a/src/gateway/relay_messages.cpp
+++ b/src/gateway/relay_messages.cpp
@@ -1,6 +1,6 @@
 #include "relay_messages.h"
 
-#include "bounded_json.h"
+#include "../bounded_json.h"
 #include "message_pack.h"
 
 namespace limpettrestle {
--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -58,6 +58,11 @@
         onFailure(result, now);
         return;
     }
+    if (mode_ == Mode::FullRead && !isLastAnswerDiscarded_ && !canContinue(result)) {
+        isLastAnswerDiscarded_ = true;
+        onFailure({}, now);
+        return;
+    }
     recordSuccess();
     if (isLastAnswerDiscarded_)
         return;
@@ -67,6 +72,11 @@
         onChanges(result, now);
 }
 
+bool RegistrySync::canContinue(const RegistryResult& page) const
+{
+    return !page.hasMore || (!page.lastKey.empty() && page.lastKey != afterKey_);
+}
+
 void RegistrySync::recordSuccess()
 {
     hasRecovered_ = isUnavailable_;
@@ -113,7 +123,7 @@
         revision_ = result.revision;
     isFirstPage_ = false;
     nextCallAt_ = now;
-    if (result.hasMore && !result.lastKey.empty()) {
+    if (result.hasMore) {
         afterKey_ = result.lastKey;
         return;
     }
--- a/src/process/registry_sync.h
+++ b/src/process/registry_sync.h
@@ -92,6 +92,9 @@
     void startFullRead(TimePoint at);
     /// Adopts the era of an answer. Returns false when the answer is from an earlier era.
     bool advanceEra(uint64_t era, TimePoint now);
+    /// Returns false for a page that says that more items follow, but not after which key, or after the same as the last
+    /// page. It is no end of the list: what follows is unknown.
+    bool canContinue(const RegistryResult& page) const;
     void recordSuccess();
     void onPage(const RegistryResult& result, TimePoint now);
     void onChanges(const RegistryResult& result, TimePoint now);
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -1,5 +1,7 @@
 #include "route_table.h"
 
+#include "../stated_time.h"
+
 #include <algorithm>
 #include <cctype>
 #include <fmt/format.h>
@@ -8,6 +10,11 @@
 
 namespace {
 
+    /// Limit on requests per second, above what any replica answers.
+    constexpr double kMaxColdRate = 1e9;
+
+    bool isStatable(Millis time) { return time >= Millis::zero() && time <= kMaxStatedTime; }
+
     std::string findRouteProblem(const RouteSpec& route)
     {
         if (route.host.empty())
@@ -18,6 +25,8 @@
             return "exactly one of services and shards is required";
         if (route.timeout <= Millis::zero())
             return "the timeout must be positive";
+        if (!isStatable(route.timeout) || !isStatable(route.latencyTarget))
+            return "a time is out of range";
         if (route.maxAttempts == 0)
             return "at least one attempt is required";
         if (!route.shards.empty() && route.repeat != RepeatPolicy::Idempotent)
@@ -107,6 +116,12 @@
         if (!problem.empty())
             return fmt::format("route {}: {}", route.name, problem);
     }
+    for (const ServiceSpec& service : document.services) {
+        if (!isStatable(service.warmup) || !(service.coldRate >= 0 && service.coldRate <= kMaxColdRate))
+            return fmt::format("service {}: the warm-up time or the cold rate is out of range", service.name);
+    }
+    if (!isStatable(document.limits.headerTimeout) || !isStatable(document.limits.idleTimeout))
+        return "limits: a time is out of range";
     return "";
 }
 
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -21,7 +21,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "standins"))
-from registry_platform import HOST, Heartbeats, Replica, Store  # noqa: E402
+from registry_platform import HOST, PAGE_SIZE, Heartbeats, Replica, Store  # noqa: E402
 
 BUILD = os.environ.get("LIMPETTRESTLE_BUILD", os.path.join(ROOT, "build"))
 SHARDS = 6
@@ -194,6 +194,30 @@
         require(gateway.request("/all/q", "u")[0] == 200, "a gateway stopped serving")
 
 
+def odd_entries_are_passed_over(cluster):
+    """Starts an instance again with each odd key at the end of the first page, and with odd values among the replicas."""
+    gateway, usual = cluster.gateways[0], json.loads(base64.b64decode(cluster.store.items["servers/" + cluster.replicas[0].id]["value"]))
+    for number, odd in enumerate(({"capacity": 0}, {"capacity": 1 << 32}, {"warmup_left_ms": 9 * 10**18}, {"address": f"{HOST}:65536"}, {"address": f"{HOST}:-1"},
+                                  {"address": "nowhere:80"}, {"seq": 1 << 64})):
+        cluster.store.write(f"servers/i-0{number}", {**usual, **odd})
+    cluster.store.write("servers/i-0deep", b"[" * 300000)
+    cluster.store.write("servers/i-0 x\r\nX-Other: 1", usual)
+    cluster.store.write("servers/", {"version": 1000, "routes": [], "backends": []})
+    for number in range(PAGE_SIZE - 1):
+        cluster.store.write(f"a/{number:02}", b"")
+    for number, end in enumerate((" b", "&c=1", "%7e", "#e", "+f", "\r\ng: h", "\u00e9")):
+        key = "a/z" + end
+        cluster.store.write(key, b"")
+        gateway.process.kill()
+        gateway.process.wait()
+        gateway.start()
+        wait_for(gateway.is_ready, f"not ready with the key {key!r} at the end of a page", 5)
+        status, headers, _ = gateway.request("/all/q", f"o{number}")
+        require(status == 200 and headers.get("X-Missing-Parts", "0") == "0", f"answer {status} is incomplete with the key {key!r}")
+        cluster.store.remove(key)
+    require(gateway.request("/card/x", "o", "POST", b"b")[0] == 200, "a submission is not served")
+
+
 def draining_replica_gets_no_more(cluster):
     draining = cluster.replicas[0]
     draining.drain()
@@ -622,12 +646,12 @@
     print(f"     {crashes} crashes, {lost} other requests lost")
 
 
-TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
+TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, odd_entries_are_passed_over, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
          stop_answers_pipelined_requests, suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
          crashing_request_is_refused, crashing_search_is_refused]
 # Options of `Cluster` for tests that need a different cluster.
-CLUSTER_OPTIONS = {divided_searches: {"gateways": 8, "processor_share": 0.001}, crashing_request_is_refused: {"gateways": 4, "cards": 6},
+CLUSTER_OPTIONS = {odd_entries_are_passed_over: {"gateways": 1, "readers": 1}, divided_searches: {"gateways": 8, "processor_share": 0.001}, crashing_request_is_refused: {"gateways": 4, "cards": 6},
                    crashing_search_is_refused: {"gateways": 4}}
 
 
