--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -135,7 +135,8 @@
     }
     if (isTooLarge_ || error == HPE_HEADER_OVERFLOW || receivedBytes_ > maxReceivedBytes())
         closeAndNotify(CloseReason::TooLarge);
-    else if (error != HPE_OK)
+    else if (error != HPE_OK || parser_.upgrade != 0)
+        // After an upgrade, which no request asks for, the parser leaves out the bytes that follow.
         closeAndNotify(CloseReason::Protocol);
     else
         ReplyMemory::ofProcess().update(*this, receivedBytes_);
