Pipelined requests are served by a loop, not by recursion

The loop now runs in one place, and a response given within it returns there. The rest of the bytes is no longer copied for every request.

The stop with pipelined requests (stop_answers_pipelined_requests) still passes.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -61,7 +61,7 @@
     {
         exchange_ = 0;
         // Requests that the caller has already sent on the connection are answered before it is closed.
-        const bool isLast = !keepsAlive_ || ((response.isLast || server_->isDraining_) && pipelinedBytes_.empty());
+        const bool isLast = !keepsAlive_ || ((response.isLast || server_->isDraining_) && !hasPipelinedBytes());
         stateSince_ = server_->clock_.now();
         const std::string head = encodeHead(response, isLast);
         const std::string emptyBody;
@@ -75,7 +75,8 @@
         }
         resetParser();
         state_ = State::Idle;
-        parsePipelinedBytes();
+        if (!isServingPipelined_)
+            servePipelinedRequests();
     }
 
     /// Closes the connection when a time limit of its state has passed.
@@ -139,31 +140,39 @@
         if (state_ == State::Lingering)
             return;
         if (state_ == State::AwaitingResponse) {
+            pipelinedBytes_.erase(0, pipelinedStart_);
+            pipelinedStart_ = 0;
             pipelinedBytes_.append(data, length);
             if (pipelinedBytes_.size() > kMaxPipelinedBytes)
                 close();
             return;
         }
-        parse(data, length);
+        const size_t parsed = parse(data, length);
+        pipelinedBytes_.assign(data + parsed, length - parsed);
+        pipelinedStart_ = 0;
+        finishParsing();
     }
 
-    void parse(const char* data, size_t length)
+    bool hasPipelinedBytes() const { return pipelinedStart_ < pipelinedBytes_.size(); }
+
+    /// Parses up to the end of one request and returns the number of bytes used.
+    size_t parse(const char* data, size_t length)
     {
         if (state_ == State::Idle) {
             state_ = State::Reading;
             stateSince_ = server_->clock_.now();
         }
-        const size_t parsed = http_parser_execute(&parser_, &parserSettings(), data, length);
-        if (errorStatus_ != 0) {
+        return http_parser_execute(&parser_, &parserSettings(), data, length);
+    }
+
+    /// Dispatches or rejects the request that was parsed, unless more bytes are needed.
+    void finishParsing()
+    {
+        if (errorStatus_ != 0)
             rejectRequest(errorStatus_);
-            return;
-        }
-        if (isComplete_) {
-            pipelinedBytes_.assign(data + parsed, length - parsed);
+        else if (isComplete_)
             dispatchRequest();
-            return;
-        }
-        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
+        else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
             rejectRequest(400);
     }
 
@@ -181,13 +190,20 @@
         server_->handler_.onRequest(exchange_, std::move(request_));
     }
 
-    void parsePipelinedBytes()
+    /// Serves the requests received so far until one has to wait for its response. Requests that are answered at once do
+    /// not call this again, however many there are.
+    void servePipelinedRequests()
     {
-        if (pipelinedBytes_.empty())
+        isServingPipelined_ = true;
+        while (state_ == State::Idle && hasPipelinedBytes()) {
+            pipelinedStart_ += parse(pipelinedBytes_.data() + pipelinedStart_, pipelinedBytes_.size() - pipelinedStart_);
+            finishParsing();
+        }
+        isServingPipelined_ = false;
+        if (hasPipelinedBytes())
             return;
-        const std::string data = std::move(pipelinedBytes_);
         pipelinedBytes_.clear();
-        parse(data.data(), data.size());
+        pipelinedStart_ = 0;
     }
 
     /// Responds to an invalid request and closes the connection.
@@ -344,8 +360,11 @@
     size_t headerBytes_ = 0;
     int errorStatus_ = 0;
     int pendingWrites_ = 0;
-    /// Bytes of pipelined requests that follow the current one.
+    /// Bytes of pipelined requests; those from `pipelinedStart_` on follow the current one.
     std::string pipelinedBytes_;
+    size_t pipelinedStart_ = 0;
+    /// Pipelined requests are being served; responses within it return to that loop.
+    bool isServingPipelined_ = false;
 };
 
 HttpServer::HttpServer(uv_loop_t* loop, HttpHandlerI& handler, const ClockI& clock)
