--- a/src/process/registry_sync.cpp
+++ b/src/process/registry_sync.cpp
@@ -64,6 +64,11 @@
         onFailure(result, now);
         return;
     }
+    if (mode_ == Mode::FullRead && !isLastAnswerDiscarded_ && !canContinue(result)) {
+        isLastAnswerDiscarded_ = true;
+        onFailure({}, now);
+        return;
+    }
     recordSuccess(now);
     if (isLastAnswerDiscarded_)
         return;
@@ -73,6 +78,11 @@
         onChanges(result, now);
 }
 
+bool RegistrySync::canContinue(const RegistryResult& page) const
+{
+    return !page.hasMore || (!page.lastKey.empty() && page.lastKey != afterKey_);
+}
+
 void RegistrySync::recordSuccess(TimePoint now)
 {
     freshness_.recordSuccess(now);
@@ -119,7 +129,7 @@
         revision_ = result.revision;
     isFirstPage_ = false;
     nextCallAt_ = now;
-    if (result.hasMore && !result.lastKey.empty()) {
+    if (result.hasMore) {
         afterKey_ = result.lastKey;
         return;
     }
