Test: the reader's replica in the exchange of changes has an address

"a reader omits replicas that the requester would not accept" failed (0 entries of 1) since entries without a usable address are left out of a reader's message. Its stand-in sent an entry with an ID only, port 0 and no host, which the decoder of the registry has never accepted. It now has an address; what the test checks is unchanged. All 314 cases pass.

--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -92,6 +92,8 @@
         for (const std::string& id : changes.written) {
             ReplicaEntry entry;
             entry.id = id;
+            entry.host = "10.0.0.1";
+            entry.port = 80;
             reply.written.push_back(entry);
         }
         return reply;
