What depends only on a route's targets is derived once for routes that share them

Cause: the plan of searches, latency targets, home regions and the check were derived from each route, though nearly all routes have the same shards.

RouteTable now groups routes with the same services, shards, home regions and latency target, and these go over the groups. The test counts the groups; it does not build without them.

--- a/src/process/reachability.cpp
+++ b/src/process/reachability.cpp
@@ -59,15 +59,18 @@
     double totalWeight = 0;
     double cutWeight = 0;
     cutOffRoutes_ = 0;
-    for (const RouteSpec& route : table.routes()) {
-        if (route.shards.empty())
+    for (const std::vector<const RouteSpec*>& group : table.groups()) {
+        const RouteSpec& first = *group.front();
+        if (first.shards.empty())
             continue;
-        totalWeight += weightOf(route.name);
-        const ShardCount count = countShards(route, directory, reach, AllowedZones(regions_, route.homeRegions));
-        if (!isCoverageMet(count.registered, route) || isCoverageMet(count.reached, route))
-            continue;
-        cutWeight += weightOf(route.name);
-        ++cutOffRoutes_;
+        const ShardCount count = countShards(first, directory, reach, AllowedZones(regions_, first.homeRegions));
+        for (const RouteSpec* route : group) {
+            totalWeight += weightOf(route->name);
+            if (!isCoverageMet(count.registered, *route) || isCoverageMet(count.reached, *route))
+                continue;
+            cutWeight += weightOf(route->name);
+            ++cutOffRoutes_;
+        }
     }
     const bool isCut = cutWeight > 0 && cutWeight * 2 >= totalWeight;
     if (isCut && !isCut_)
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -113,7 +113,8 @@
         if (!isNew)
             entry->second = std::min(entry->second, target);
     };
-    for (const RouteSpec& route : table.routes()) {
+    for (const std::vector<const RouteSpec*>& group : table.groups()) {
+        const RouteSpec& route = *group.front();
         for (const std::string& shard : route.shards)
             add(shard, route.latencyTarget);
         for (const ServiceShare& share : route.shares)
--- a/src/request/gather_plan.cpp
+++ b/src/request/gather_plan.cpp
@@ -51,9 +51,9 @@
 void GatherPlan::setTable(const RouteTable& table)
 {
     routes_.clear();
-    for (const RouteSpec& route : table.routes()) {
-        if (!route.shards.empty())
-            routes_.push_back(route);
+    for (const std::vector<const RouteSpec*>& group : table.groups()) {
+        if (!group.front()->shards.empty())
+            routes_.push_back(*group.front());
     }
     updateOwnShards();
 }
--- a/src/request/gather_plan.h
+++ b/src/request/gather_plan.h
@@ -94,7 +94,7 @@
     std::vector<InstanceInfo> instances_;
     uint32_t fleetSize_ = 0;
     uint32_t requiredFeatures_ = 0;
-    /// Routes of the active configuration that have shards.
+    /// First route of each group of routes with shards in the active configuration.
     std::vector<RouteSpec> routes_;
     absl::flat_hash_map<std::string, AggregatorState> aggregatorStates_;
     /// Shards of routes that are worth dividing.
--- a/src/version/route_table.cpp
+++ b/src/version/route_table.cpp
@@ -8,6 +8,24 @@
 
 namespace {
 
+    /// Compares routes by their services, shards, home regions and latency target.
+    struct TargetsEqual {
+        bool operator()(const RouteSpec* a, const RouteSpec* b) const
+        {
+            const auto hasSameService = [](const ServiceShare& left, const ServiceShare& right) { return left.service == right.service; };
+            return a->latencyTarget == b->latencyTarget && a->homeRegions == b->homeRegions && a->shards == b->shards
+                && std::equal(a->shares.begin(), a->shares.end(), b->shares.begin(), b->shares.end(), hasSameService);
+        }
+    };
+
+    struct TargetsHash {
+        size_t operator()(const RouteSpec* route) const
+        {
+            const std::string_view service = route->shares.empty() ? std::string_view() : std::string_view(route->shares.front().service);
+            return absl::HashOf(route->latencyTarget.count(), route->homeRegions, route->shards, service);
+        }
+    };
+
     std::string findRouteProblem(const RouteSpec& route)
     {
         if (route.host.empty())
@@ -45,9 +63,21 @@
     }
     for (const ServiceSpec& service : document_.services)
         maxConnections_[service.name] = service.maxConnections;
+    groupRoutes();
     indexHomeRegions();
 }
 
+void RouteTable::groupRoutes()
+{
+    absl::flat_hash_map<const RouteSpec*, size_t, TargetsHash, TargetsEqual> groupOf;
+    for (const RouteSpec& route : document_.routes) {
+        const auto [entry, isNew] = groupOf.try_emplace(&route, groups_.size());
+        if (isNew)
+            groups_.emplace_back();
+        groups_[entry->second].push_back(&route);
+    }
+}
+
 void RouteTable::indexHomeRegions()
 {
     const auto addRoute = [this](const std::string& service, const RouteSpec& route) {
@@ -55,7 +85,8 @@
         if (std::find(lists.begin(), lists.end(), route.homeRegions) == lists.end())
             lists.push_back(route.homeRegions);
     };
-    for (const RouteSpec& route : document_.routes) {
+    for (const std::vector<const RouteSpec*>& group : groups_) {
+        const RouteSpec& route = *group.front();
         for (const ServiceShare& share : route.shares)
             addRoute(share.service, route);
         for (const std::string& shard : route.shards)
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -19,6 +19,10 @@
     const std::vector<RouteSpec>& routes() const { return document_.routes; }
     const std::vector<ServiceSpec>& services() const { return document_.services; }
 
+    /// Routes in groups with the same services, shards, home regions and latency target, in the order of their first routes.
+    /// What depends on these alone is derived once for a group, because a configuration may have many routes and few groups.
+    const std::vector<std::vector<const RouteSpec*>>& groups() const { return groups_; }
+
     /// Returns the route of the host with the longest prefix that matches the path of the target, or
     /// null. `host` may contain a port and is matched case-insensitively.
     const RouteSpec* match(std::string_view host, std::string_view target) const;
@@ -30,9 +34,11 @@
     const std::vector<std::vector<std::string>>& homeRegionsOf(const std::string& service) const;
 
 private:
+    void groupRoutes();
     void indexHomeRegions();
 
     RoutingDocument document_;
+    std::vector<std::vector<const RouteSpec*>> groups_;
     /// Routes by host, sorted by descending prefix length.
     absl::flat_hash_map<std::string, std::vector<const RouteSpec*>> byHost_;
     absl::flat_hash_map<std::string, uint32_t> maxConnections_;
--- a/tests/gather_plan_test.cpp
+++ b/tests/gather_plan_test.cpp
@@ -138,3 +138,28 @@
     CHECK(digestOf(zone) != digestOf({ zone[0] }));
     CHECK(digestOf({}) != 0);
 }
+
+// An instance derived its plan and its reachability from each of 1,400 routes, though nearly all had the same shards.
+TEST_CASE("routes with the same targets form one group")
+{
+    RoutingDocument document = makeTable(87).document();
+    document.routes.front().homeRegions = { "east" };
+    document.routes.resize(700, document.routes.front());
+    RouteSpec single;
+    single.shares = { { "card", 1 } };
+    document.routes.push_back(single);
+    single.shares = { { "mail", 1 } };
+    document.routes.push_back(single);
+    CHECK(RouteTable(document).groups().size() == 3);
+    document.routes[2].latencyTarget = Millis(20);
+    document.routes[4].homeRegions = {};
+    document.routes[6].shards.pop_back();
+    document.routes[8].timeout = Millis(20);
+    const RouteTable table(document);
+    CHECK(table.groups().size() == 6);
+    size_t routes = 0;
+    for (const std::vector<const RouteSpec*>& group : table.groups())
+        routes += group.size();
+    CHECK(routes == document.routes.size());
+    CHECK(table.groups().front().front() == &table.routes().front());
+}
