A reader encodes a version of the configuration once, and sends shared fields of routes once

Cause: a reader copied, encoded and dumped the whole configuration for each follower on its event loop, and the list of shards stood in every search. Measured on 1,437 routes, half of them searches over 87 shards: 41 ms and 1,283,393 bytes a reply, about 65 times a version and reader, and 37 ms to decode it at a follower. Replies came later than the followers' timeout.

PeerServer now keeps the encoded text of the version and splices it into the replies (0.01 ms). Followers that announce the new feature bit get routes that refer to shared fields: 69,004 bytes, 3.0 ms to encode once, 2.8 ms to decode. Followers of earlier builds get the same message as before, encoded once as well. With the cache taken out, the new test counts 5 encodings for five followers instead of one, and fails.

--- a/include/limpettrestle/routing.h
+++ b/include/limpettrestle/routing.h
@@ -35,6 +35,8 @@
 struct ServiceShare {
     std::string service;
     uint32_t weight = 1;
+
+    bool operator==(const ServiceShare&) const = default;
 };
 
 /// Maps a host and a path prefix to services. Exactly one of `shares` and `shards` is not empty.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,6 +39,7 @@
     const ChangeLog& changes() const override { return state_.changes(); }
     Millis stateAge() const override;
     uint64_t stateEra() const override { return state_.era(); }
+    std::shared_ptr<const RouteTable> configuration() const override;
     ChangesReply makeChangesReply(const ChangeSet& changes, const ChangesRequest& request) const override;
     void onGroup(ExchangeId exchange, GroupRequest request) override;
     void onRelay(ExchangeId exchange, RelayRequest request) override;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -95,6 +95,11 @@
     return state_.isComplete() && dispatcher_->table() != nullptr;
 }
 
+std::shared_ptr<const RouteTable> Gateway::configuration() const
+{
+    return dispatcher_->table();
+}
+
 ChangesReply Gateway::makeChangesReply(const ChangeSet& changes, const ChangesRequest& request) const
 {
     const TimePoint now = clock_.now();
@@ -126,8 +131,6 @@
     if (request.quarantineDigest && *request.quarantineDigest != crashLedger_.digest())
         reply.quarantines = crashLedger_.quarantines(kMaxQuarantineEntries, now);
     addFacts(request, reply);
-    if (changes.hasConfig && configVersion() > request.configVersion)
-        reply.config = dispatcher_->table()->document();
     return reply;
 }
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -133,7 +133,7 @@
             changes.clearReplicas();
         ChangesReply reply = clusterState_.makeChangesReply(changes, request);
         reply.includesReplicas = includesReplicas;
-        response.body = encode(reply);
+        response.body = encode(reply, configTextFor(changes, request));
     } else {
         response.status = 503;
         response.body = "error 204 not_ready\n";
@@ -141,6 +141,14 @@
     server.respond(held.exchange, std::move(response));
 }
 
+std::string_view PeerServer::configTextFor(const ChangeSet& changes, const ChangesRequest& request)
+{
+    const std::shared_ptr<const RouteTable> table = clusterState_.configuration();
+    if (!changes.hasConfig || table == nullptr || table->version() <= request.configVersion)
+        return {};
+    return configTexts_.textOf(table->document(), configFormFor(request.follower));
+}
+
 void PeerServer::answerHeldRequests()
 {
     if (!clusterState_.hasClusterState())
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -7,6 +7,8 @@
 #include "../net/http_server.h"
 #include "../process/fleet_size.h"
 #include "../process/source_choice.h"
+#include "../version/route_table.h"
+#include "config_messages.h"
 #include "gateway_settings.h"
 #include "gather_messages.h"
 #include "peer_messages.h"
@@ -27,7 +29,9 @@
     virtual Millis stateAge() const = 0;
     /// Era of the registry from which the replicas were read; 0 when it is unknown.
     virtual uint64_t stateEra() const = 0;
-    /// Builds the reply with entries, configuration, age, and the size and instances of the fleet.
+    /// The active configuration; null when there is none.
+    virtual std::shared_ptr<const RouteTable> configuration() const = 0;
+    /// Builds the reply with entries, age, and the size and instances of the fleet, without the configuration.
     virtual ChangesReply makeChangesReply(const ChangeSet& changes, const ChangesRequest& request) const = 0;
 };
 
@@ -56,6 +60,8 @@
     void answerHeldRequests();
     /// Replies to the requests whose hold time has ended, and closes connections that exceeded a time limit.
     void checkTimeouts();
+    /// Number of times that a configuration has been encoded for replies.
+    uint64_t configEncodings() const { return configTexts_.encodings(); }
 
     HttpServer server;
 
@@ -69,6 +75,8 @@
     };
 
     void answer(const HeldRequest& held);
+    /// Text of the configuration for the reply; empty when the requester has the same or a newer one.
+    std::string_view configTextFor(const ChangeSet& changes, const ChangesRequest& request);
     void handleReachNotice(ExchangeId exchange, const std::string& body);
     void handleCrashNotice(ExchangeId exchange, const std::string& body);
     void confirmNotice(ExchangeId exchange);
@@ -79,6 +87,7 @@
     FleetSize& fleet_;
     InstanceDirectory& instances_;
     PeerHandlerI& handler_;
+    ConfigTexts configTexts_;
     std::vector<HeldRequest> heldRequests_;
 };
 
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "../net/http_message.h"
 #include "../version/route_table.h"
+#include "config_messages.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -13,14 +14,15 @@
     using nlohmann::json;
 
     constexpr std::string_view kChangesPath = "/changes?";
+    constexpr const char* kConfigField = "config";
     /// Limit on the time for which a reply is held.
     constexpr int64_t kMaxHoldMs = 10000;
+    /// Bytes around the name and the value of a field that is appended to an object.
+    constexpr size_t kFieldFrameBytes = 8;
     /// Limit on zones in a notice.
     constexpr size_t kMaxNoticeZones = 64;
     /// Index of the features in an entry of the list of instances; earlier builds do not send them.
     constexpr size_t kInstanceFeaturesField = 4;
-    /// Index of the warm-up time of a service, which its cold rate follows; earlier builds send neither.
-    constexpr size_t kServiceWarmupField = 2;
 
     json encodeEntry(const ReplicaEntry& entry)
     {
@@ -72,71 +74,14 @@
         return true;
     }
 
-    json encodeRoute(const RouteSpec& route)
+    /// Appends a field to the text of an object that has others.
+    void appendField(std::string& object, std::string_view name, std::string_view value)
     {
-        json shares = json::array();
-        for (const ServiceShare& share : route.shares)
-            shares.push_back(json::array({ share.service, share.weight }));
-        return { { "name", route.name }, { "host", route.host }, { "prefix", route.prefix }, { "once", route.repeat == RepeatPolicy::AtMostOnce },
-            { "timeout", route.timeout.count() }, { "target", route.latencyTarget.count() }, { "priority", route.priority },
-            { "attempts", route.maxAttempts }, { "shares", shares }, { "shards", route.shards }, { "top", route.topRecords }, { "coverage", route.minCoverage }, { "homes", route.homeRegions } };
-    }
-
-    RouteSpec decodeRoute(const json& value)
-    {
-        RouteSpec route;
-        route.name = value.at("name").get<std::string>();
-        route.host = value.at("host").get<std::string>();
-        route.prefix = value.at("prefix").get<std::string>();
-        route.repeat = value.at("once").get<bool>() ? RepeatPolicy::AtMostOnce : RepeatPolicy::Idempotent;
-        route.timeout = Millis(value.at("timeout").get<int64_t>());
-        route.latencyTarget = Millis(value.at("target").get<int64_t>());
-        route.priority = value.at("priority").get<uint32_t>();
-        route.maxAttempts = value.at("attempts").get<uint32_t>();
-        for (const json& share : value.at("shares"))
-            route.shares.push_back({ share.at(0).get<std::string>(), share.at(1).get<uint32_t>() });
-        route.shards = value.at("shards").get<std::vector<std::string>>();
-        route.topRecords = value.at("top").get<uint32_t>();
-        route.minCoverage = value.at("coverage").get<double>();
-        // Earlier builds do not send this field.
-        route.homeRegions = value.value("homes", std::vector<std::string>());
-        return route;
-    }
-
-    json encodeConfig(const RoutingDocument& document)
-    {
-        json routes = json::array();
-        for (const RouteSpec& route : document.routes)
-            routes.push_back(encodeRoute(route));
-        json services = json::array();
-        for (const ServiceSpec& service : document.services)
-            services.push_back(json::array({ service.name, service.maxConnections, service.warmup.count(), service.coldRate }));
-        const IngressLimits& limits = document.limits;
-        return { { "version", document.version }, { "routes", routes }, { "services", services },
-            { "limits", json::array({ limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout.count(), limits.idleTimeout.count() }) } };
-    }
-
-    ServiceSpec decodeService(const json& value)
-    {
-        ServiceSpec service { value.at(0).get<std::string>(), value.at(1).get<uint32_t>() };
-        if (value.size() > kServiceWarmupField) {
-            service.warmup = Millis(value.at(kServiceWarmupField).get<int64_t>());
-            service.coldRate = value.at(kServiceWarmupField + 1).get<double>();
-        }
-        return service;
-    }
-
-    RoutingDocument decodeConfig(const json& value)
-    {
-        RoutingDocument document;
-        document.version = value.at("version").get<uint64_t>();
-        for (const json& route : value.at("routes"))
-            document.routes.push_back(decodeRoute(route));
-        for (const json& service : value.at("services"))
-            document.services.push_back(decodeService(service));
-        const json& limits = value.at("limits");
-        document.limits = { limits.at(0).get<uint32_t>(), limits.at(1).get<uint32_t>(), Millis(limits.at(2).get<int64_t>()), Millis(limits.at(3).get<int64_t>()) };
-        return document;
+        object.pop_back();
+        object.reserve(object.size() + name.size() + value.size() + kFieldFrameBytes);
+        fmt::format_to(std::back_inserter(object), ",\"{}\":", name);
+        object.append(value);
+        object.push_back('}');
     }
 
     /// Calls `visit(name, value)` for each "name=value" field of a query.
@@ -235,15 +180,13 @@
     return request;
 }
 
-std::string encode(const ChangesReply& reply)
+std::string encode(const ChangesReply& reply, std::string_view configText)
 {
     json written = json::array();
     for (const ReplicaEntry& entry : reply.written)
         written.push_back(encodeEntry(entry));
     json root = { { "run", reply.upTo.run }, { "number", reply.upTo.number }, { "whole", reply.isFullSnapshot }, { "replicas", reply.includesReplicas }, { "era", reply.era }, { "age_ms", reply.age.count() },
         { "sender", reply.sender }, { "following", reply.following }, { "fleet", reply.fleet }, { "instances_digest", reply.instancesDigest }, { "written", written }, { "removed", reply.removed } };
-    if (reply.config)
-        root["config"] = encodeConfig(*reply.config);
     if (!reply.quarantines.empty())
         root["quarantines"] = encodeQuarantines(reply.quarantines);
     if (reply.factsDigest)
@@ -252,7 +195,12 @@
         root["facts"] = encodeFacts(reply.facts);
     if (reply.instances)
         root["instances"] = encodeInstances(*reply.instances);
-    return root.dump(-1, ' ', false, json::error_handler_t::replace);
+    std::string text = root.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (reply.config)
+        appendField(text, kConfigField, encodeConfig(*reply.config, ConfigForm::Plain));
+    else if (!configText.empty())
+        appendField(text, kConfigField, configText);
+    return text;
 }
 
 std::optional<ChangesReply> decodeReply(const std::string& text)
@@ -282,8 +230,8 @@
         for (const json& entry : root.at("written"))
             reply.written.push_back(decodeEntry(entry));
         reply.removed = root.at("removed").get<std::vector<std::string>>();
-        if (root.contains("config")) {
-            reply.config = decodeConfig(root["config"]);
+        if (const auto config = root.find(kConfigField); config != root.end()) {
+            reply.config = decodeConfig(*config);
             if (!findRoutingProblem(*reply.config).empty())
                 return std::nullopt;
         }
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -89,7 +89,8 @@
 std::string encodeTarget(const ChangesRequest& request);
 /// Returns no value when the input is malformed.
 std::optional<ChangesRequest> decodeTarget(const std::string& target);
-std::string encode(const ChangesReply& reply);
+/// `configText`: encoded configuration that is sent when `reply.config` is unset; empty for none.
+std::string encode(const ChangesReply& reply, std::string_view configText = {});
 /// Returns no value when the input is malformed or its configuration is invalid.
 std::optional<ChangesReply> decodeReply(const std::string& text);
 
--- a/src/process/instance_directory.h
+++ b/src/process/instance_directory.h
@@ -14,10 +14,13 @@
     SharedFacts = 1U << 0,
     /// Keeps requests within the home regions of their route.
     HomeRegions = 1U << 1,
+    /// Reads configurations in which routes share fields; see `ConfigForm::Shared`.
+    SharedRouteFields = 1U << 2,
 };
 
 /// Features of this build.
-constexpr uint32_t kOwnFeatures = static_cast<uint32_t>(InstanceFeature::SharedFacts) | static_cast<uint32_t>(InstanceFeature::HomeRegions);
+constexpr uint32_t kOwnFeatures = static_cast<uint32_t>(InstanceFeature::SharedFacts) | static_cast<uint32_t>(InstanceFeature::HomeRegions)
+    | static_cast<uint32_t>(InstanceFeature::SharedRouteFields);
 
 /// Identity of an instance and the address at which it serves other instances.
 struct InstanceInfo {
--- a/tests/peer_exchange_test.cpp
+++ b/tests/peer_exchange_test.cpp
@@ -83,6 +83,7 @@
     const ChangeLog& changes() const override { return changes_; }
     Millis stateAge() const override { return Millis(500); }
     uint64_t stateEra() const override { return era_; }
+    std::shared_ptr<const RouteTable> configuration() const override { return table_; }
     ChangesReply makeChangesReply(const ChangeSet& changes, const ChangesRequest& /*request*/) const override
     {
         ChangesReply reply;
@@ -97,9 +98,16 @@
         return reply;
     }
 
+    void setConfiguration(RoutingDocument document)
+    {
+        table_ = std::make_shared<const RouteTable>(std::move(document));
+        changes_.configChanged();
+    }
+
 private:
     const uint64_t era_;
     ChangeLog changes_ { 7 };
+    std::shared_ptr<const RouteTable> table_;
 };
 
 class IgnoringPeerHandler final : public PeerHandlerI {
@@ -204,3 +212,68 @@
             uv_run(&loop, UV_RUN_NOWAIT);
     }
 }
+
+namespace {
+
+/// Searches of the same shards under many prefixes.
+RoutingDocument largeConfiguration(uint64_t version)
+{
+    RoutingDocument document;
+    document.version = version;
+    for (int i = 0; i < 200; ++i) {
+        RouteSpec& route = document.routes.emplace_back();
+        route.name = "r" + std::to_string(i);
+        route.host = "app.example";
+        route.prefix = "/" + route.name + "/";
+        route.repeat = RepeatPolicy::Idempotent;
+        for (int shard = 0; shard < 50; ++shard)
+            route.shards.push_back("shard" + std::to_string(shard));
+    }
+    return document;
+}
+
+/// Lets a follower of the given features that has no configuration request the state of a server once.
+RoutingDocument requestConfiguration(uv_loop_t& loop, const ClockI& clock, int port, uint32_t features)
+{
+    SourceChoice sourceChoice(1, false, 0, clock.now());
+    PeerFollower follower(&loop, clock, { "n1", "north", "127.0.0.1", 1, features }, { { "127.0.0.1", port } }, false, Millis(100), sourceChoice);
+    std::optional<RoutingDocument> received;
+    follower.setHandlers([&received](const ChangesReply& reply) { received = reply.config; return true; }, [](const Endpoint&, const std::string&) {});
+    const TimePoint end = clock.now() + Millis(5000);
+    while (!received && clock.now() < end) {
+        follower.tick();
+        uv_run(&loop, UV_RUN_NOWAIT);
+    }
+    follower.stop();
+    return received.value();
+}
+
+} // namespace
+
+// A reader encoded a large configuration anew for each of its followers, and its event loop stood still for seconds.
+TEST_CASE("a reader encodes a version of the configuration once for all followers that read the same form")
+{
+    const int port = freePort();
+    const SystemClock clock;
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    FixedClusterState clusterState(0);
+    FleetSize fleet(1);
+    InstanceDirectory instances;
+    IgnoringPeerHandler handler;
+    PeerServer peer(&loop, clock, clusterState, fleet, instances, handler);
+    REQUIRE(peer.server.listen("127.0.0.1", port));
+    for (const uint64_t version : { 1, 2 }) {
+        clusterState.setConfiguration(largeConfiguration(version));
+        for (int follower = 0; follower < 5; ++follower)
+            CHECK(requestConfiguration(loop, clock, port, kOwnFeatures).version == version);
+        CHECK(peer.configEncodings() == version);
+    }
+    CHECK(requestConfiguration(loop, clock, port, 0).version == 2);
+    CHECK(requestConfiguration(loop, clock, port, 0).routes.size() == 200);
+    CHECK(peer.configEncodings() == 3);
+    peer.server.stopListening();
+    peer.server.closeIdle();
+    for (int i = 0; i < 20; ++i)
+        uv_run(&loop, UV_RUN_NOWAIT);
+}
--- a/tests/zone_reach_test.cpp
+++ b/tests/zone_reach_test.cpp
@@ -201,6 +201,7 @@
     const ChangeLog& changes() const override { return changes_; }
     Millis stateAge() const override { return Millis(0); }
     uint64_t stateEra() const override { return 0; }
+    std::shared_ptr<const RouteTable> configuration() const override { return nullptr; }
     ChangesReply makeChangesReply(const ChangeSet& /*changes*/, const ChangesRequest& /*request*/) const override { return {}; }
 
 private:
