A delay that the process has computed itself is not taken for a suspension

Cause: a late timer was the only evidence of a suspension.

SuspensionDetector compares the delay with the CPU time that the process has used meanwhile, divided by its share of a processor; only the part that it has not computed counts. woke_late names cpu_ms and the action, so that operators can distinguish the two.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,8 +15,6 @@
     constexpr Millis kMaintenancePeriod { 250 };
     /// Interval until the directory is complete, because any run may be the one that makes the instance ready.
     constexpr Millis kStartupMaintenancePeriod { 50 };
-    /// A delay of the maintenance timer beyond this means that the process was suspended or got no CPU time.
-    constexpr Millis kSuspensionThreshold { 1000 };
     /// Share of the configured repeat ratio that is used. The rest covers measuring windows that are not aligned.
     constexpr double kRepeatRatioShare = 0.85;
     /// Set in the dispatcher's IDs of groups and relayed requests from other instances. The other bits are the exchange ID.
@@ -45,11 +43,12 @@
     PageHandler handler_;
 };
 
-Gateway::Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log)
+Gateway::Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, const CpuClockI& cpuClock, EventLog& log)
     : settings_(settings)
     , regions_(settings_.regions)
     , settingsFile_(std::move(settingsFile))
     , clock_(clock)
+    , cpuClock_(cpuClock)
     , log_(log)
     , state_(
           clock_, log_.output(), [this](const ReplicaPtr& replica) { replicaLinks_->retireReplica(replica); }, [this](RoutingDocument document) { applyConfig(std::move(document), "registry"); })
@@ -182,7 +181,7 @@
     reloadSignal_.data = this;
     uv_signal_start(
         &reloadSignal_, [](uv_signal_t* handle, int) { static_cast<Gateway*>(handle->data)->reloadSettings(); }, SIGHUP);
-    lastMaintenanceAt_ = clock_.now();
+    suspensions_.start(clock_.now(), cpuClock_.used());
 }
 
 void Gateway::scheduleTick()
@@ -301,12 +300,12 @@
 
 void Gateway::checkSuspension()
 {
-    const TimePoint now = clock_.now();
-    const Millis delay = std::chrono::duration_cast<Millis>(now - lastMaintenanceAt_) - kMaintenancePeriod;
-    lastMaintenanceAt_ = now;
-    if (delay < kSuspensionThreshold)
+    const std::optional<LateRun> late = suspensions_.recordRun(clock_.now(), cpuClock_.used(), kMaintenancePeriod);
+    if (!late)
+        return;
+    log_.logger().warn("event=woke_late gap_ms={} cpu_ms={} action={}", late->delay.count(), late->cpuTime.count(), late->isSuspension ? "read_registry_anew" : "none");
+    if (!late->isSuspension)
         return;
-    log_.logger().warn("event=woke_late gap_ms={} action=read_registry_anew", delay.count());
     replicaLinks_->closeIdle();
     instanceLinks_->closeIdle();
     registryClient_->restart();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,8 +4,10 @@
 
 #include "../net/http_server.h"
 #include "../process/cold_replicas.h"
+#include "../process/cpu_clock.h"
 #include "../process/reachability.h"
 #include "../process/stop_schedule.h"
+#include "../process/suspension_detector.h"
 #include "cluster_state.h"
 #include "crash_exchange.h"
 #include "event_log.h"
@@ -19,7 +21,7 @@
 
 class Gateway final : public HttpHandlerI, public AnswerSinkI, public RegistryHandlerI, public ClusterStateI, public PeerHandlerI, public ReplicaAnnouncementsI, public CrashObserverI {
 public:
-    Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, EventLog& log);
+    Gateway(const GatewaySettings& settings, std::string settingsFile, const ClockI& clock, const CpuClockI& cpuClock, EventLog& log);
     ~Gateway() override;
 
     /// Serves until SIGTERM. Returns the exit code of the process.
@@ -95,7 +97,7 @@
     /// Sets the timer for the dispatcher's next tick. Called before the loop waits for I/O.
     void scheduleTick();
     void runMaintenance();
-    /// Detects from a late maintenance run that the process was suspended, and renews connections and cluster state.
+    /// Detects from a late maintenance run that the process was suspended, and renews connections and cluster state then.
     void checkSuspension();
     void beginShutdown();
     /// Stops the loop when all requests are answered or the grace period ends.
@@ -118,6 +120,7 @@
     const ZoneRegions regions_;
     const std::string settingsFile_;
     const ClockI& clock_;
+    const CpuClockI& cpuClock_;
     EventLog& log_;
     uv_loop_t loop_;
     uv_timer_t tickTimer_;
@@ -144,7 +147,7 @@
     std::unique_ptr<SourceChoice> sourceChoice_;
     std::unique_ptr<PeerServer> peerServer_;
     std::unique_ptr<PeerFollower> follower_;
-    TimePoint lastMaintenanceAt_ {};
+    SuspensionDetector suspensions_ { settings_.processorShare };
     ZoneReach reach_;
     Reachability reachability_ { &regions_ };
     ColdReplicaMonitor coldReplicas_;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -20,8 +20,9 @@
                 return 0;
             }
             const SystemClock clock;
+            const SystemCpuClock cpuClock;
             EventLog log;
-            Gateway gateway(settings, file, clock, log);
+            Gateway gateway(settings, file, clock, cpuClock, log);
             const int code = gateway.run();
             // Exits without destructors; connections that are still open close with the process.
             std::_Exit(code);
