Test that fails: a late copy of a refusal passes for the answer to a later attempt

A submission is refused by both replicas, a read of another caller uses the connection of the first refusal, and the third attempt goes out on it. The second copy of the refusal then passes for its answer: on this code 6 of 6 submissions ran and were answered 503 (gateway_process_test.py late_copy_is_no_reply_to_a_later_attempt).

--- a/standins/registry_platform.py
+++ b/standins/registry_platform.py
@@ -45,6 +45,8 @@
         self.items = {}
         self.history = []
         self.revision = 1
+        # Number of refusals by request, over all replicas, for "shed_twice_copied".
+        self.refusals = {}
         self.fault = None
         self.calls = 0
         self.changed = threading.Condition()
@@ -122,7 +124,8 @@
     `delay` is the duration of a call in seconds. `mode` is "ok", "shed" (refuses calls with status 503), "silent"
     (accepts calls without a reply), "copies" (sends each reply again after 5 ms), "copies_without_id" (the second one
     without the request's ID), "shed_once_copied" (refuses the first call of each request, and sends the refusal again
-    after 30 ms), or one of `BROKEN_REPLIES` (ends the reply halfway). A request whose path contains `crashes_on` ends the
+    after 30 ms), "shed_twice_copied" (the first two calls of each request whose ID begins with "p" are refused, the second one
+    after a pause of 150 ms, and the first refusal comes again after 300 ms), or one of `BROKEN_REPLIES` (ends the reply halfway). A request whose path contains `crashes_on` ends the
     replica's process: its connections and its listener close, and it is back after `restart_after` seconds.
     """
 
@@ -137,6 +140,7 @@
         self.born = int(time.time() * 1000)
         # IDs of the requests that "shed_once_copied" has refused.
         self.refused = set()
+        self.paused_until = 0.0
         self.crashes_on, self.restart_after, self.crash_delay = None, 1.5, 0.03
         # Times of the crashes, and the open connections, which end with the process.
         self.crashes, self.connections, self.crashing = [], set(), threading.Lock()
@@ -200,11 +204,12 @@
         self.crashing.release()
 
     def serve(self, request):
+        time.sleep(max(0.0, self.paused_until - time.monotonic()))
         headers = {"X-Request-Id": request.headers.get("X-Request-Id", ""), "X-Server-Load": "0,0,2"}
         status, body = 200, b""
         if request.headers.get("X-Expect-Instance") not in (None, self.id):
             status, headers["X-Instance-Id"] = 421, self.id
-        elif self.mode == "shed" or (self.mode == "shed_once_copied" and headers["X-Request-Id"] not in self.refused):
+        elif self.mode == "shed" or self.refuses_twice(headers["X-Request-Id"]) or (self.mode == "shed_once_copied" and headers["X-Request-Id"] not in self.refused):
             status, headers["X-Not-Executed"] = 503, "1"
             self.refused.add(headers["X-Request-Id"])
         else:
@@ -223,6 +228,9 @@
         if self.mode in self.BROKEN_REPLIES:
             self.break_off(request, headers, body)
             return
+        if status == 503 and self.mode == "shed_twice_copied":
+            self.refuse_copied(request, headers)
+            return
         self.send_reply(request, status, headers, body)
         if self.mode.startswith("copies") or (self.mode == "shed_once_copied" and status == 503):
             time.sleep(0.03 if status == 503 else 0.005)
@@ -230,6 +238,29 @@
                 del headers["X-Request-Id"]
             self.send_reply(request, status, headers, body)
 
+    def refuses_twice(self, request_id):
+        return self.mode == "shed_twice_copied" and request_id.startswith("p") and self.store.refusals.get(request_id, 0) < 2
+
+    def refuse_copied(self, request, headers):
+        request_id = headers["X-Request-Id"]
+        earlier = self.store.refusals.get(request_id, 0)
+        self.store.refusals[request_id] = earlier + 1
+        if earlier == 1:
+            self.paused_until = time.monotonic() + 0.15
+            time.sleep(0.15)
+        fields = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        refusal = f"HTTP/1.1 503 Busy\r\n{fields}Content-Length: 0\r\n\r\n".encode()
+        request.connection.sendall(refusal)
+        if earlier == 0:
+            threading.Timer(0.3, self.send_late, (request.connection, refusal)).start()
+
+    @staticmethod
+    def send_late(connection, data):
+        try:
+            connection.sendall(data)
+        except OSError:
+            pass
+
     @staticmethod
     def send_reply(request, status, headers, body):
         request.send_response(status)
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -248,6 +248,41 @@
     require(status == 503 and "Retry-After" in headers, f"not refused with Retry-After: {status}")
 
 
+# Guards against a late second copy of a refusal that passes for the reply to a later attempt of the same submission.
+def late_copy_is_no_reply_to_a_later_attempt(cluster):
+    cards, gateway = cluster.replicas[-2:], cluster.gateways[0]
+    cluster.configure([{"name": "read", "hostname": "app.example", "prefix": "/read/", "route_type": "idempotent", "timeout_ms": 1000,
+                        "target_latency_ms": 100, "backend": "card", "max_attempts": 2}])
+    wait_for(lambda: gateway.request("/read/x", "first")[0] == 200, "the route of the reads is not in force")
+    for replica in cards:
+        replica.mode = "shed_twice_copied"
+    answers = {}
+
+    def submit(name):
+        answers[name] = gateway.request("/card/x", name, "POST", b"x")[0]
+
+    for number in range(6):
+        # The share of repeats is limited.
+        for index in range(100):
+            require(gateway.request("/read/x", f"w{number}-{index}")[0] == 200, "not served before the refusals")
+        submission = threading.Thread(target=submit, args=(f"p{number}",))
+        submission.start()
+        time.sleep(0.07)
+        # A read of another caller uses the connection on which the submission was refused.
+        require(gateway.request(f"/read/{number}", f"o{number}")[0] == 200, "the other caller was not served")
+        for replica in cards:
+            replica.delay = 0.4
+        submission.join()
+        time.sleep(0.4)
+        for replica in cards:
+            replica.delay = 0.0
+    runs = [run[1] for replica in cards for run in replica.runs if run[1].startswith("p")]
+    require(len(runs) == len(set(runs)), f"a submission ran more than once: {runs}")
+    require(len(runs) >= 4, f"too few submissions were sent a third time: {runs}")
+    refused = [name for name in runs if answers[name] == 503]
+    require(not refused, f"answered as not run, but ran: {refused}")
+
+
 def leaving_caller_ends_the_work(cluster):
     cluster.replicas[-1].delay = cluster.replicas[-2].delay = 1.0
     connection = http.client.HTTPConnection(HOST, cluster.gateways[0].caller)
@@ -623,7 +658,7 @@
 
 
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, draining_replica_gets_no_more, store_away,
-         lost_history, silent_replica_is_passed_over, shed_submission_goes_on, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
+         lost_history, silent_replica_is_passed_over, shed_submission_goes_on, late_copy_is_no_reply_to_a_later_attempt, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
          stop_answers_pipelined_requests, suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
          crashing_request_is_refused, crashing_search_is_refused]
 # Options of `Cluster` for tests that need a different cluster.
