A request that was refused on a connection is not sent on it again

Callers saw 503 for submissions that had run. Cause: only the last request of a connection was kept off it, so a request in between lifted the guard, and a late copy of the first refusal passed for the answer to a later attempt. Requests that run at most once use a new connection while the replica has sent no ID.

--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -1,6 +1,7 @@
 #include "replica_links.h"
 
 #include "../../platform/request_codec.h"
+#include "../connection/answered_requests.h"
 
 #include <algorithm>
 
@@ -26,6 +27,8 @@
     /// Returns 0 for a request without an ID, which cannot be told from others.
     size_t hashOfId(const ForwardedRequest& request) { return request.requestId.empty() ? 0 : std::hash<std::string> {}(request.requestId); }
 
+    bool isSuccess(int status) { return status / 100 == 2; }
+
 } // namespace
 
 /// A call that is queued or waits for its reply.
@@ -33,7 +36,7 @@
     ReplicaPtr replica;
     RequestPtr request;
     TimePoint deadlineAt {};
-    /// The call may only use a connection that was used recently.
+    /// The request may run at most once, so the call may only use a connection that was used recently.
     bool needsLive = false;
     /// Null while the call is queued.
     Channel* channel = nullptr;
@@ -81,9 +84,12 @@
     /// ID of the call that waits for its reply; 0 when there is none.
     uint64_t call = 0;
     bool isIdle = false;
-    /// Hash of the ID of the last request that was sent; 0 when it had none. The request is not sent again on this connection, because a late
-    /// second copy of its first reply would pass for the reply to the repeat.
+    /// Hash of the ID of the last request that was sent; 0 when it had none. The request is not sent again on this connection.
     size_t lastRequestHash = 0;
+    /// Requests that got a reply other than a success on this connection, and are not sent again on it.
+    AnsweredRequests unserved;
+    /// A reply arrived on this connection.
+    bool hasReplied = false;
     /// A reply to another request arrived on this connection, so it is closed after its current call.
     bool isClosingAfterCall = false;
     TimePoint lastUsedAt {};
@@ -286,7 +292,7 @@
     Channel* mostRecent = nullptr;
     for (const auto& channel : link.channels) {
         const auto idleTime = now - channel->lastUsedAt;
-        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || (requestHash != 0 && channel->lastRequestHash == requestHash))
+        if (!channel->isIdle || idleTime > channel->idleTimeout || (call.needsLive && idleTime > kRecentUseTime) || mayMistakeReply(*channel, call, requestHash))
             continue;
         if (mostRecent == nullptr || channel->lastUsedAt > mostRecent->lastUsedAt)
             mostRecent = channel.get();
@@ -294,6 +300,15 @@
     return mostRecent;
 }
 
+bool ReplicaLinks::mayMistakeReply(const Channel& channel, const PendingCall& call, size_t requestHash)
+{
+    // A copy of a reply without an ID could belong to any earlier request of the connection.
+    const bool isUnidentified = requestHash == 0 || !channel.link.sendsRequestIds;
+    if (call.needsLive && isUnidentified && channel.hasReplied)
+        return true;
+    return requestHash != 0 && (channel.lastRequestHash == requestHash || channel.unserved.contains(requestHash));
+}
+
 void ReplicaLinks::openChannel(Link& link)
 {
     auto channel = std::make_unique<Channel>(*this, link);
@@ -377,9 +392,12 @@
     }
     const uint64_t call = channel.call;
     Link& link = channel.link;
+    channel.hasReplied = true;
+    if (!isSuccess(decoded.reply.status))
+        channel.unserved.add(hashOfId(*found->second.request));
     channel.call = 0;
     calls_.erase(found);
-    if (isReusable && !channel.isClosingAfterCall && !decoded.isEncoded && link.replica->acceptsWork()) {
+    if (isReusable && !channel.isClosingAfterCall && !channel.unserved.isFull() && !decoded.isEncoded && link.replica->acceptsWork()) {
         channel.isIdle = true;
         channel.lastUsedAt = clock_.now();
         if (keepAlive >= 0)
--- a/src/gateway/replica_links.h
+++ b/src/gateway/replica_links.h
@@ -71,6 +71,8 @@
     void closeIdle(Link& link);
     /// Returns the most recently used idle channel that the call may use; null when there is none.
     Channel* findIdleChannel(Link& link, const PendingCall& call);
+    /// Returns true if a second copy of an earlier reply on the channel could pass for the reply to the call.
+    static bool mayMistakeReply(const Channel& channel, const PendingCall& call, size_t requestHash);
     void openChannel(Link& link);
     /// Returns false and closes the channel when its connection has failed.
     bool sendOn(Channel& channel, uint64_t call);
