--- a/src/gateway/gateway_shutdown.cpp
+++ b/src/gateway/gateway_shutdown.cpp
@@ -18,8 +18,8 @@
     if (stop_.hasBegun())
         return;
     // The signal may have waited since the loop last turned.
-    const Millis delay = std::chrono::duration_cast<Millis>(clock_.now() - lastMaintenanceAt_);
-    stop_.begin(lastMaintenanceAt_, settings_.grace);
+    const Millis delay = std::chrono::duration_cast<Millis>(clock_.now() - suspensions_.lastRunAt());
+    stop_.begin(suspensions_.lastRunAt(), settings_.grace);
     dispatcher_->beginStop(stop_.answerBy());
     callerServer_->setDraining();
     uv_timer_set_repeat(&maintenanceTimer_, static_cast<uint64_t>(kStopMaintenancePeriod.count()));
--- a/src/process/suspension_detector.h
+++ b/src/process/suspension_detector.h
@@ -47,6 +47,8 @@
         return LateRun { std::chrono::duration_cast<Millis>(delay), std::chrono::duration_cast<Millis>(usedCpuTime), delay - explained >= kThreshold };
     }
 
+    TimePoint lastRunAt() const { return lastRunAt_; }
+
 private:
     /// A delay beyond this that the process has not computed means that it was suspended or got no CPU time.
     static constexpr Millis kThreshold { 1000 };
