--- a/src/gateway/registry_client.cpp
+++ b/src/gateway/registry_client.cpp
@@ -99,10 +99,13 @@
         onClosed(*connection_, CloseReason::Closed);
 }
 
-void RegistryClient::finishCall(const HttpResponse& response, const std::string& reason)
+void RegistryClient::finishCall(const HttpResponse& response, const std::string& reason, bool isTooLarge)
 {
     isCalling_ = false;
     platform::StoreReply reply = platform::decodeStoreReply(call_.kind, response);
+    // The pages of a full read are limited, unlike the changes of a busy time, of which only the last ones count.
+    if (isTooLarge && call_.kind == RegistryCall::Kind::Changes)
+        reply.result.outcome = RegistryOutcome::HistoryLost;
     const bool wasUnavailable = sync_.isUnavailable();
     const uint64_t previousEra = sync_.era();
     sync_.onCallFinished(reply.result, clock_.now());
@@ -144,7 +147,7 @@
     connection.close();
     connection_ = nullptr;
     if (isCalling_)
-        finishCall({}, std::string(name(reason)));
+        finishCall({}, std::string(name(reason)), reason == CloseReason::TooLarge);
 }
 
 } // namespace limpettrestle
--- a/src/gateway/registry_client.h
+++ b/src/gateway/registry_client.h
@@ -43,7 +43,7 @@
     void schedule();
     void startCall();
     void sendRequest();
-    void finishCall(const HttpResponse& response, const std::string& reason);
+    void finishCall(const HttpResponse& response, const std::string& reason, bool isTooLarge = false);
     void dropConnection();
 
     void onConnected(HttpClientConnection& connection) override;
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -186,6 +186,20 @@
         require(gateway.request("/new/x", "x")[0] == 200, f"version {newest} was replaced by an older one")
 
 
+# Guards against a watch whose answer holds several versions of a large configuration and exceeds the limit on replies: it is
+# refused again and again, which counts as an outage of the registry, and the newest version comes into force only after it.
+def large_configurations_in_one_answer(cluster):
+    extra = [{"name": f"n{number}", "hostname": "app.example", "prefix": f"/{'x' * 700}{number}/", "route_type": "idempotent", "timeout_ms": 900,
+              "target_latency_ms": 90, "backend": "card"} for number in range(1100)]
+    for number in range(4):
+        cluster.configure(extra + [{"name": f"v{number}", "hostname": "app.example", "prefix": f"/v{number}/", "route_type": "idempotent", "timeout_ms": 900,
+                                    "target_latency_ms": 90, "backend": "card"}])
+    for gateway in cluster.gateways:
+        wait_for(lambda g=gateway: g.request("/v3/x", "x")[0] == 200, f"the newest version is not in force at n{gateway.number}", 5)
+        lost = [line for line in gateway.lines("dependency_lost") if "name=registry" in line]
+        require(not lost, f"n{gateway.number} took the answer for an outage: {lost}")
+
+
 def unreadable_entries_change_nothing(cluster):
     for key, value in (("op/config", b"\xff"), ("op/config", b"{}"), ("servers/i-odd", b"[]"), ("servers/i-s0-0x", {"state": "ready"})):
         cluster.store.write(key, value)
@@ -681,7 +695,7 @@
     print(f"     {crashes} crashes, {lost} other requests lost")
 
 
-TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, unreadable_entries_change_nothing, odd_entries_are_passed_over, draining_replica_gets_no_more, store_away,
+TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, large_configurations_in_one_answer, unreadable_entries_change_nothing, odd_entries_are_passed_over, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, late_copy_is_no_reply_to_a_later_attempt, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
          stop_answers_pipelined_requests, suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
          crashing_request_is_refused, crashing_search_is_refused]
