--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -180,7 +180,9 @@
     };
     for (const std::string& odd : oddEntries) {
         INFO(odd);
-        const std::optional<ChangesReply> reply = decodeReply(messageWith(odd + "," + usual));
+        std::string entries = odd;
+        entries.append(",").append(usual);
+        const std::optional<ChangesReply> reply = decodeReply(messageWith(entries));
         REQUIRE(reply);
         REQUIRE(reply->written.size() == 1);
         CHECK(reply->written[0].id == "i-1");
