Requests without an ID use kept connections again

Cause: the guard against late copies also gave each submission without an ID a connection of its own, although replicas do not run such requests. The guard now holds for requests that have an ID. After: connections_are_kept, late_copy_is_no_reply_to_a_later_attempt and shed_submission_goes_on pass.

--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -302,11 +302,13 @@
 
 bool ReplicaLinks::mayMistakeReply(const Channel& channel, const PendingCall& call, size_t requestHash)
 {
+    // Replicas do not run requests without an ID.
+    if (requestHash == 0)
+        return false;
     // A copy of a reply without an ID could belong to any earlier request of the connection.
-    const bool isUnidentified = requestHash == 0 || !channel.link.sendsRequestIds;
-    if (call.needsLive && isUnidentified && channel.hasReplied)
+    if (call.needsLive && !channel.link.sendsRequestIds && channel.hasReplied)
         return true;
-    return requestHash != 0 && (channel.lastRequestHash == requestHash || channel.unserved.contains(requestHash));
+    return channel.lastRequestHash == requestHash || channel.unserved.contains(requestHash);
 }
 
 void ReplicaLinks::openChannel(Link& link)
