An answer that waited in the socket during a suspension is not used

What may be seen: a reader that wakes from a suspension handles the answer that lies in its socket before any timer runs (the event loop returns from its wait with the socket readable), counts that state as just read and passes it on to followers with an age of zero, so that these use replicas again that have left meanwhile. A follower did the same with a reply of its reader, whose age counts from when it was sent. Cause: the time limit of a call was checked by a timer only. Now an answer that arrives after its call's limit, by the clock that counts suspensions, is a timeout: read anew on a new connection.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -10,6 +10,8 @@
     /// Time added to the hold while waiting for a reply. The sum bounds the time until a hung reader is detected.
     constexpr Millis kReplyTimeoutMargin { 700 };
     constexpr Millis kConnectTimeout { 300 };
+    /// Time by which the tick that ends an overdue call may be late in a process that runs.
+    constexpr Millis kTickSlack { 300 };
     /// Time between two calls of a reader to other readers.
     constexpr Millis kReaderPollInterval { 1500 };
 
@@ -280,8 +282,14 @@
 
 ResponseAction PeerFollower::onResponse(HttpClientConnection& /*connection*/, HttpResponse response, bool isReusable)
 {
-    if (!isReusable)
+    // After a suspension, a reply that waited in the socket is handled before the next tick. Its age counts from when it was sent.
+    const bool isExpired = clock_.now() > callTimeoutAt_ + kTickSlack;
+    if (!isReusable || isExpired)
         dropConnection();
+    if (isExpired) {
+        failCall("timeout");
+        return ResponseAction::Keep;
+    }
     const std::optional<ChangesReply> reply = response.status == 200 ? decodeReply(response.body) : std::nullopt;
     if (!reply) {
         failCall(fmt::format("status_{}", response.status));
--- a/src/gateway/registry_client.cpp
+++ b/src/gateway/registry_client.cpp
@@ -84,6 +84,7 @@
 {
     isCalling_ = true;
     call_ = sync_.nextCall();
+    callExpiresAt_ = clock_.now() + call_.limit;
     uv_timer_start(timer_, onTimer, static_cast<uint64_t>(call_.limit.count()), 0);
     if (connection_ == nullptr)
         connection_ = HttpClientConnection::open(loop_, endpoint_.host, endpoint_.port, kConnectTimeout, *this);
@@ -134,9 +135,14 @@
 
 ResponseAction RegistryClient::onResponse(HttpClientConnection& /*connection*/, HttpResponse response, bool isReusable)
 {
-    if (!isReusable)
+    // After a suspension, an answer that waited in the socket is handled before the timer.
+    const bool isExpired = clock_.now() > callExpiresAt_;
+    if (!isReusable || isExpired)
         dropConnection();
-    finishCall(response, "");
+    if (isExpired)
+        finishCall({}, "timeout");
+    else
+        finishCall(response, "");
     return ResponseAction::Keep;
 }
 
--- a/src/gateway/registry_client.h
+++ b/src/gateway/registry_client.h
@@ -58,6 +58,8 @@
     uv_timer_t* timer_ = nullptr;
     HttpClientConnection* connection_ = nullptr;
     RegistryCall call_;
+    /// Time after which the answer of the current call is too old to be used.
+    TimePoint callExpiresAt_ {};
     bool isCalling_ = false;
     bool isStopped_ = false;
     bool isActive_ = false;
