A removal that a reader has passed on binds its followers

What may be seen: a follower that learned a removal from one reader uses the replica again when another reader, whose state is older than it claims, lists it with the same report. Cause: only removals that an instance had read itself from the registry needed a later report to be undone; those passed on by a reader counted as little as the lack of a replica in a list. Now a removal that a reader names counts like one that was read. The lack of a replica in a whole list stays weak, since a reader that has just started may know less (registry_era_test). If nobody repeats the removal, the replica is back after 3 s, or at once with a later report.

--- a/src/gateway/cluster_state.cpp
+++ b/src/gateway/cluster_state.cpp
@@ -222,7 +222,8 @@
     for (const std::string& id : reply.removed) {
         if (isComplete_ && directory_.find(id))
             log_.info("event=replica id={} state=removed reader={}", id, reply.sender);
-        directory_.remove(id, clock_.now(), ReplicaSource::Instance);
+        // The sender has read the removal, unlike the lack of a replica in its list, which may be older than the replica.
+        directory_.remove(id, clock_.now(), ReplicaSource::Registry);
     }
     if (!reply.isFullSnapshot)
         return;
--- a/src/process/replica_directory.h
+++ b/src/process/replica_directory.h
@@ -43,7 +43,7 @@
 
 /// Origin of what is known about a replica.
 enum class ReplicaSource : uint8_t {
-    /// An answer of the registry to this instance.
+    /// An answer of the registry, to this instance or to another one that passed on a single change of it.
     Registry,
     /// A reply of another instance, whose state may be older or keep replicas whose removal is deferred.
     Instance,
@@ -65,7 +65,7 @@
 
     /// Applies a report of a replica about itself. Reports older than the known one are ignored. Returns true when its
     /// warm-up has changed so that other instances must receive the report; see `Warmup::recordReport()`. A replica whose
-    /// removal this instance has read from the registry is not used again on another instance's word without a later
+    /// removal was read from the registry is not used again on another instance's word without a later
     /// report, unless its removal is not repeated for some time; see `takeDueReadmissions()`.
     bool apply(const ReplicaEntry& entry, TimePoint now, ReplicaSource source = ReplicaSource::Registry);
     /// Records the remaining warm-up time in a reply of the replica.
--- a/tests/registry_freshness_test.cpp
+++ b/tests/registry_freshness_test.cpp
@@ -49,6 +49,43 @@
     }
 }
 
+// Guards against a replica that is used again after its removal because another reader's state is older than it claims.
+TEST_CASE("a replica that one reader has removed is not used again on another one's word without a later report")
+{
+    for (const bool isFullSnapshot : { false, true }) {
+        INFO(isFullSnapshot);
+        TwoReplicas follower;
+        ChangesReply removal;
+        removal.removed = { "a" };
+        follower.state.applyPeer(removal);
+        REQUIRE_FALSE(follower.isUsed("a"));
+        ChangesReply older;
+        older.isFullSnapshot = isFullSnapshot;
+        older.written = { entryOf("a", 50), entryOf("b", 50) };
+        follower.state.applyPeer(older);
+        CHECK_FALSE(follower.isUsed("a"));
+        CHECK(follower.isUsed("b"));
+        ChangesReply later;
+        later.written = { entryOf("a", 51) };
+        follower.state.applyPeer(later);
+        CHECK(follower.isUsed("a"));
+    }
+}
+
+TEST_CASE("a replica that one reader has removed is used again when others go on listing it")
+{
+    TwoReplicas follower;
+    ChangesReply removal;
+    removal.removed = { "a" };
+    follower.state.applyPeer(removal);
+    ChangesReply listing;
+    listing.written = { entryOf("a", 50) };
+    follower.state.applyPeer(listing);
+    follower.clock.advance(Millis(3001));
+    follower.state.tick();
+    CHECK(follower.isUsed("a"));
+}
+
 TEST_CASE("a short suspension during an outage does not end the wait for replicas that register again")
 {
     TwoReplicas bed;
