Heads of many small fields count with the memory that they take

Callers would see: the process ends, and all its open requests with it. Bodies, chunks, interim replies and bytes that are no HTTP were bounded already. Now a field counts with its memory, in the limit of a head (32 kB) and in that of the process (4 MB for unfinished replies).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "stream_io.h"
 
+#include <algorithm>
 #include <array>
 #include <climits>
 
@@ -13,8 +14,10 @@
     /// TCP_USER_TIMEOUT, longer than retransmissions take on a working link: a peer that acknowledges nothing for this
     /// long is considered dead.
     constexpr int kTcpUserTimeoutMs = 2000;
-    /// Limit on the head of a response.
+    /// Limit on the head of a response as it is held in memory.
     constexpr size_t kMaxHeadBytes = 32 << 10;
+    /// Memory of a header field besides its name and value.
+    constexpr size_t kFieldBytes = sizeof(HeaderField);
     /// Received bytes that are allowed for each byte of the body limit, because chunks of a few bytes have longer frames.
     constexpr size_t kMaxFramingFactor = 8;
 
@@ -56,7 +59,8 @@
 
 double HttpClientConnection::usedFraction() const
 {
-    return static_cast<double>(receivedBytes_) / static_cast<double>(kMaxHeadBytes + options_.maxBodyBytes);
+    const double head = static_cast<double>(headBytes_) / static_cast<double>(kMaxHeadBytes);
+    return std::max(head, static_cast<double>(receivedBytes_) / static_cast<double>(kMaxHeadBytes + options_.maxBodyBytes));
 }
 
 bool HttpClientConnection::send(const std::string& head, const std::string& body, const SendOptions& options)
@@ -139,7 +143,7 @@
         // After an upgrade, which no request asks for, the parser leaves out the bytes that follow.
         closeAndNotify(CloseReason::Protocol);
     else
-        ReplyMemory::ofProcess().update(*this, receivedBytes_);
+        ReplyMemory::ofProcess().update(*this, receivedBytes_ + headBytes_);
 }
 
 void HttpClientConnection::finishResponse(const char* rest, size_t restLength)
@@ -223,10 +227,11 @@
 int HttpClientConnection::parseHeaderField(http_parser* parser, const char* at, size_t length)
 {
     HttpClientConnection& self = ownerOf(parser);
-    if (!self.countHeadBytes(length))
-        return -1;
     std::vector<HeaderField>& headers = self.response_.headers;
-    if (headers.empty() || self.isAfterHeaderValue_)
+    const bool isNewField = headers.empty() || self.isAfterHeaderValue_;
+    if (!self.countHeadBytes(isNewField ? kFieldBytes + length : length))
+        return -1;
+    if (isNewField)
         headers.emplace_back();
     headers.back().name.append(at, length);
     self.isAfterHeaderValue_ = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -96,7 +96,7 @@
     void closeAndNotify(CloseReason reason);
     void closeHandles();
     void resetParser();
-    /// Counts bytes of a response's head. Returns false when there are too many.
+    /// Counts memory of a response's head. Returns false when there is too much.
     bool countHeadBytes(size_t length);
 
     static int parseHeaderField(http_parser* parser, const char* at, size_t length);
@@ -119,7 +119,7 @@
     SendOptions options_;
     /// Bytes received since the request was sent, including interim responses and responses to other requests.
     size_t receivedBytes_ = 0;
-    /// Bytes of header names and values of the current response.
+    /// Memory of the header fields of the current response.
     size_t headBytes_ = 0;
     bool isTooLarge_ = false;
     bool isAfterHeaderValue_ = false;
--- a/standins/endless_replies.py
+++ b/standins/endless_replies.py
@@ -10,8 +10,11 @@
 import time
 
 HOST = "127.0.0.1"
-START = b"HTTP/1.1 200 OK\r\n\r\n"
-BLOCK = b"z" * 4096
+# What is sent first, and what is sent again and again after it.
+KINDS = {"body": (b"HTTP/1.1 200 OK\r\n\r\n", b"z" * 4096),
+         "head": (b"HTTP/1.1 200 OK\r\n", b"X:\r\n" * 1024),
+         "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nz\r\n" * 682),
+         "bytes": (b"\x00\xff" * 16, b"\x00\xff" * 2048)}
 
 
 def listen(port):
@@ -33,7 +36,8 @@
 class Replies:
     """Connections of the gateway, each of which gets bytes until it is closed."""
 
-    def __init__(self, ports, pause_ms):
+    def __init__(self, ports, pause_ms, kind):
+        self.first, self.block = KINDS[kind]
         self.selector = selectors.DefaultSelector()
         self.pause = pause_ms / 1000
         self.started = set()
@@ -49,7 +53,7 @@
             elif self.receive(key.fileobj):
                 self.started.add(key.fileobj)
         for connection in list(self.started):
-            self.send(connection, BLOCK)
+            self.send(connection, self.block)
         if self.pause:
             time.sleep(self.pause)
 
@@ -63,7 +67,7 @@
         if not data:
             self.drop(connection)
             return False
-        self.send(connection, START)
+        self.send(connection, self.first)
         return True
 
     def send(self, connection, data):
@@ -87,10 +91,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--ports", type=int, nargs="+", required=True, help="ports of the replicas")
     parser.add_argument("--pause-ms", type=int, default=0, help="pause between two blocks of 4 kB")
+    parser.add_argument("--kind", choices=sorted(KINDS), default="body")
     parser.add_argument("--gateway", type=int, required=True, help="port of the gateway for callers")
     parser.add_argument("--requests", type=int, default=200)
     options = parser.parse_args()
-    replies = Replies(options.ports, options.pause_ms)
+    replies = Replies(options.ports, options.pause_ms, options.kind)
     callers = send_requests(options.gateway, options.requests)
     print("started", flush=True)
     while callers:
--- a/tests/gateway_process_test.py
+++ b/tests/gateway_process_test.py
@@ -659,8 +659,8 @@
     require(opened() - before <= 5, f"{opened() - before:.0f} connections for 100 requests")
 
 
-def replies_without_end(cluster):
-    """Two hundred replies that never end, at full speed and slowly, bound the memory and leave other requests alone."""
+def check_replies_without_end(cluster, kind, paces):
+    """Two hundred replies that never end, at each of the paces (pauses in ms), bound the memory and leave other requests alone."""
     gateway = cluster.gateways[0]
 
     def latency(count):
@@ -684,8 +684,8 @@
     script = os.path.join(ROOT, "standins", "endless_replies.py")
     wait_for(lambda: any(f"version={cluster.version} " in line for line in gateway.lines("config_in_force")), "the configuration is not in force")
     usual = latency(200)
-    for pause_ms in (0, 20):
-        with subprocess.Popen([sys.executable, script, "--ports", *map(str, ports), "--pause-ms", str(pause_ms), "--gateway", str(gateway.caller), "--requests", "200"],
+    for pause_ms in paces:
+        with subprocess.Popen([sys.executable, script, "--kind", kind, "--ports", *map(str, ports), "--pause-ms", str(pause_ms), "--gateway", str(gateway.caller), "--requests", "200"],
                               stdout=subprocess.PIPE) as flood:
             require(flood.stdout.readline() == b"started\n", "the stand-in did not start")
             during = latency(200)
@@ -694,11 +694,28 @@
             flood.terminate()
         require(during <= 1.5 * usual, f"99th percentile {during * 1000:.1f} ms beside endless replies ({pause_ms} ms), {usual * 1000:.1f} ms without")
         require(peak_kb < 32 * 1024, f"resident memory reached {peak_kb} kB")
+    if kind == "bytes":
+        return
     metrics = Gateway.get(gateway.metrics, "/metrics")[2].decode()
     oversized = next(float(line.split()[1]) for line in metrics.splitlines() if line.startswith("limpettrestle_replies_oversized_total "))
     require(oversized > 0, "no reply was counted as too large")
 
 
+def replies_without_end(cluster):
+    check_replies_without_end(cluster, "body", (0, 20))
+
+
+# Guards against heads of many small fields, each of which takes far more memory than it has bytes.
+def heads_without_end(cluster):
+    check_replies_without_end(cluster, "head", (0, 20))
+
+
+# Guards against bytes that are no reply at all, and against a body in tiny chunks.
+def bytes_and_chunks_without_end(cluster):
+    check_replies_without_end(cluster, "bytes", (0,))
+    check_replies_without_end(cluster, "chunks", (0,))
+
+
 def repeat_beside_others(cluster, send_crashing, send_other, seconds):
     """Sends a request that crashes its replicas every 150 ms, at each instance in turn, beside other ones.
 
@@ -777,7 +794,7 @@
 TESTS = [whole_path, followers_learn_from_readers, new_configuration_everywhere, large_configurations_in_one_answer, unreadable_entries_change_nothing, odd_entries_are_passed_over, draining_replica_gets_no_more, store_away,
          lost_history, silent_replica_is_passed_over, shed_submission_goes_on, late_copy_is_no_reply_to_a_later_attempt, leaving_caller_ends_the_work, shutdown_under_load, stop_cuts_no_request,
          stop_answers_pipelined_requests, suspended_instance_comes_back, bad_requests, taken_address, divided_searches, isolated_instance_relays, connections_are_kept, replies_without_end,
-         stop_of_a_relaying_instance_cuts_no_request, stop_of_an_aggregator_cuts_no_search, crashing_request_is_refused, crashing_search_is_refused]
+         heads_without_end, bytes_and_chunks_without_end, stop_of_a_relaying_instance_cuts_no_request, stop_of_an_aggregator_cuts_no_search, crashing_request_is_refused, crashing_search_is_refused]
 # Options of `Cluster` for tests that need a different cluster.
 CLUSTER_OPTIONS = {odd_entries_are_passed_over: {"gateways": 1, "readers": 1}, divided_searches: {"gateways": 8, "processor_share": 0.001},
                    stop_of_an_aggregator_cuts_no_search: {"gateways": 8, "processor_share": 0.001}, crashing_request_is_refused: {"gateways": 4, "cards": 6},
--- a/tests/reply_limit_test.cpp
+++ b/tests/reply_limit_test.cpp
@@ -210,9 +210,27 @@
 
 TEST_CASE("two hundred replies without end keep memory bounded")
 {
-    for (const int pauseMillis : { 0, 20 }) {
-        INFO(pauseMillis);
-        EndlessPeer peer(kOk + "\r\n", repeat("z", 4096), pauseMillis);
+    struct TestCase {
+        std::string what;
+        std::string start;
+        std::string block;
+        int pauseMillis;
+    };
+    const std::string body = repeat("z", 4096);
+    // Each field takes far more memory than it has bytes.
+    const std::string fields = repeat("X:\r\n", 1024);
+    const std::string interim = repeat("HTTP/1.1 100 Continue\r\nX:\r\n\r\n", 100);
+    const std::vector<TestCase> testCases = {
+        { "body", kOk + "\r\n", body, 0 },
+        { "body, slowly", kOk + "\r\n", body, 20 },
+        { "head of small fields", kOk, fields, 0 },
+        { "head of small fields, slowly", kOk, fields, 20 },
+        { "trailer of small fields, slowly", kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n", fields, 20 },
+        { "interim responses, slowly", interim, interim, 20 },
+    };
+    for (const auto& [what, start, block, pauseMillis] : testCases) {
+        INFO(what);
+        EndlessPeer peer(start, block, pauseMillis);
         uv_loop_t loop;
         uv_loop_init(&loop);
         constexpr size_t kConnections = 200;
