Reports of crashes wait for an instance that does not accept a connection

Reports of crashes are sent once. A connection to an instance that was not accepted within 60 ms dropped all that was queued for it, so that a busy instance never learned of a crash that the others counted. Now connecting is tried again while a notice is valid: 3 s for crashes, 0.5 s for unreachable zones, which are renewed anyway.

Evidence: zone_reach_test, 'a notice is sent when its instance accepts connections again', fails before (no notice) and passes now.

--- a/src/gateway/crash_exchange.cpp
+++ b/src/gateway/crash_exchange.cpp
@@ -4,6 +4,13 @@
 
 namespace limpettrestle {
 
+namespace {
+
+    /// Time for which a notice is worth sending. A busy instance may not accept a connection at once, and reports are not repeated.
+    constexpr Millis kNoticeValidity { 3000 };
+
+} // namespace
+
 CrashExchange::CrashExchange(const CrashExchangeInit& init)
     : init_(init)
 {
@@ -71,7 +78,7 @@
     queue = {};
     for (const InstanceInfo& receiver : receivers) {
         if (receiver.name != init_.self.name)
-            init_.links->notify(receiver, kCrashesPath, text);
+            init_.links->notify(receiver, kCrashesPath, text, kNoticeValidity);
     }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,8 @@
     constexpr Millis kMaintenancePeriod { 250 };
     /// Interval until the directory is complete, because any run may be the one that makes the instance ready.
     constexpr Millis kStartupMaintenancePeriod { 50 };
+    /// Time after which a notice of unreachable zones that could not be sent is dropped; it is renewed in each run of the maintenance.
+    constexpr Millis kReachNoticeValidity { 500 };
     /// Share of the configured repeat ratio that is used. The rest covers measuring windows that are not aligned.
     constexpr double kRepeatRatioShare = 0.85;
     /// Set in the dispatcher's IDs of groups and relayed requests from other instances. The other bits are the exchange ID.
@@ -177,12 +179,12 @@
     terminateSignal_.data = this;
     uv_signal_start(
         &terminateSignal_, [](uv_signal_t* handle, int) { static_cast<Gateway*>(handle->data)->beginShutdown(); }, SIGTERM);
-    uv_signal_init(&loop_, &reloadSignal_);
-    reloadSignal_.data = this;
     uv_signal_init(&loop_, &interruptSignal_);
     interruptSignal_.data = this;
     uv_signal_start(
         &interruptSignal_, [](uv_signal_t* handle, int) { static_cast<Gateway*>(handle->data)->beginShutdown(); }, SIGINT);
+    uv_signal_init(&loop_, &reloadSignal_);
+    reloadSignal_.data = this;
     uv_signal_start(
         &reloadSignal_, [](uv_signal_t* handle, int) { static_cast<Gateway*>(handle->data)->reloadSettings(); }, SIGHUP);
     suspensions_.start(clock_.now(), cpuClock_.used());
@@ -280,7 +282,7 @@
     const std::string notice = encode(ReachNotice { settings_.name, announced });
     for (const InstanceInfo& instance : instances_.inZone(settings_.zone, now)) {
         if (instance.name != settings_.name)
-            instanceLinks_->notify(instance, kReachPath, notice);
+            instanceLinks_->notify(instance, kReachPath, notice, kReachNoticeValidity);
     }
 }
 
--- a/src/gateway/instance_links.cpp
+++ b/src/gateway/instance_links.cpp
@@ -25,8 +25,6 @@
     constexpr Millis kReplyTimeoutMargin { 200 };
     /// HTTP status of an instance that did not start to process the message.
     constexpr int kStatusNotStarted = 503;
-    /// Time after which an unanswered notice is dropped.
-    constexpr Millis kNoticeTimeout { 500 };
     /// Set in the IDs of notices to tell them from groups.
     constexpr uint64_t kNoticeIdBit = 1ULL << 63;
 
@@ -108,9 +106,9 @@
     queueMessage(relay, { MessageKind::Relay, &getOrCreateLink(instance), kRelayPath, encode(request), expiresAt, maxReplyBytes });
 }
 
-void InstanceLinks::notify(const InstanceInfo& instance, std::string_view path, std::string body)
+void InstanceLinks::notify(const InstanceInfo& instance, std::string_view path, std::string body, Millis validity)
 {
-    queueMessage(kNoticeIdBit | ++lastNoticeId_, { MessageKind::Notice, &getOrCreateLink(instance), path, std::move(body), clock_.now() + kNoticeTimeout });
+    queueMessage(kNoticeIdBit | ++lastNoticeId_, { MessageKind::Notice, &getOrCreateLink(instance), path, std::move(body), clock_.now() + validity });
 }
 
 void InstanceLinks::queueMessage(uint64_t message, PendingMessage pending)
@@ -194,6 +192,8 @@
         reportFailure(id, kind, isSent);
     }
     for (const auto& [name, link] : links_) {
+        // Connects again for notices whose instance did not accept a connection.
+        sendQueued(*link);
         std::vector<Channel*> expired;
         for (const auto& channel : link->channels) {
             if (channel->isIdle && now - channel->lastUsedAt > kIdleTimeout)
@@ -300,13 +300,23 @@
     if (detached->message != 0) {
         reportFailure(detached->message, take(detached->message), true);
     } else if (!detached->isIdle) {
-        // Connecting failed: the queued messages fail as not sent, and their shards are called directly.
-        const std::deque<uint64_t> unsent = std::move(link.queue);
-        link.queue.clear();
-        for (const uint64_t message : unsent)
-            reportFailure(message, take(message), false);
+        failUnsent(link);
+        return;
     }
     sendQueued(link);
 }
 
+void InstanceLinks::failUnsent(Link& link)
+{
+    const std::deque<uint64_t> unsent = std::move(link.queue);
+    link.queue.clear();
+    for (const uint64_t message : unsent) {
+        const auto found = messages_.find(message);
+        if (found != messages_.end() && found->second.kind == MessageKind::Notice)
+            link.queue.push_back(message);
+        else
+            reportFailure(message, take(message), false);
+    }
+}
+
 } // namespace limpettrestle
--- a/src/gateway/instance_links.h
+++ b/src/gateway/instance_links.h
@@ -21,8 +21,8 @@
     void cancelGroup(uint64_t group) override { cancelMessage(group); }
     void startRelay(uint64_t relay, const InstanceInfo& instance, RelayRequest request) override;
     void cancelRelay(uint64_t relay) override { cancelMessage(relay); }
-    /// Sends a one-way message. Failures are not reported.
-    void notify(const InstanceInfo& instance, std::string_view path, std::string body);
+    /// Sends a one-way message. Until `validity` has passed, connecting is tried again; failures are not reported.
+    void notify(const InstanceInfo& instance, std::string_view path, std::string body, Millis validity);
 
     /// Fails messages whose time limit has passed and closes connections that were idle for too long.
     void checkTimeouts();
@@ -56,6 +56,9 @@
     void cancelMessage(uint64_t message);
     /// Removes a message and returns its kind; a cancelled one counts as a notice, whose failure is not reported.
     MessageKind take(uint64_t message);
+    /// Handles a failed connection attempt: the queued groups and relays fail as not sent, so that their shards are called
+    /// directly or another instance is tried. Notices stay queued.
+    void failUnsent(Link& link);
     /// Reports a response to the dispatcher.
     void reportResponse(uint64_t message, MessageKind kind, const HttpResponse& response);
     /// Reports a failed group or relay to the dispatcher; failed notices are ignored.
--- a/tests/zone_reach_test.cpp
+++ b/tests/zone_reach_test.cpp
@@ -195,6 +195,8 @@
     std::vector<ReachNotice> notices;
 };
 
+constexpr Millis kValidity { 1000 };
+
 class NoClusterState final : public ClusterStateI {
 public:
     bool hasClusterState() const override { return false; }
@@ -225,9 +227,9 @@
     InstanceLinks links(&loop, clock);
     const InstanceInfo other { "n1", "north", "127.0.0.1", port };
     const std::string notice = encode(ReachNotice { "n0", { "east" } });
-    links.notify(other, kReachPath, notice);
-    links.notify(other, kReachPath, "no notice");
-    links.notify(other, kReachPath, notice);
+    links.notify(other, kReachPath, notice, kValidity);
+    links.notify(other, kReachPath, "no notice", kValidity);
+    links.notify(other, kReachPath, notice, kValidity);
     const TimePoint end = clock.now() + Millis(2000);
     while (recorder.notices.size() < 2 && clock.now() < end)
         uv_run(&loop, UV_RUN_NOWAIT);
@@ -243,6 +245,44 @@
         uv_run(&loop, UV_RUN_NOWAIT);
 }
 
+// Guards against instances that never learn of a crash because they were too busy to accept a connection when it was reported.
+TEST_CASE("a notice is sent when its instance accepts connections again, unless it is no longer valid")
+{
+    for (const bool isValid : { true, false }) {
+        INFO(isValid);
+        const int port = freePort();
+        TestClock clock;
+        const SystemClock realClock;
+        uv_loop_t loop;
+        uv_loop_init(&loop);
+        const NoClusterState clusterState;
+        FleetSize fleet(1);
+        InstanceDirectory instances;
+        NoticeRecorder recorder;
+        PeerServer peer(&loop, clock, clusterState, fleet, instances, recorder);
+        InstanceLinks links(&loop, clock);
+        const auto runFor = [&](Millis time) {
+            const TimePoint end = realClock.now() + time;
+            while (recorder.notices.empty() && realClock.now() < end)
+                uv_run(&loop, UV_RUN_NOWAIT);
+        };
+        links.notify({ "n1", "north", "127.0.0.1", port }, kReachPath, encode(ReachNotice { "n0", { "east" } }), kValidity);
+        runFor(Millis(100));
+        links.checkTimeouts();
+        runFor(Millis(100));
+        REQUIRE(peer.server.listen("127.0.0.1", port));
+        clock.advance(isValid ? kValidity - Millis(1) : kValidity);
+        links.checkTimeouts();
+        runFor(Millis(500));
+        CHECK(recorder.notices.size() == (isValid ? 1 : 0));
+        links.closeIdle();
+        peer.server.stopListening();
+        peer.server.closeIdle();
+        for (int i = 0; i < 20; ++i)
+            uv_run(&loop, UV_RUN_NOWAIT);
+    }
+}
+
 TEST_CASE("malformed notices are refused")
 {
     CHECK(decodeNotice(encode(ReachNotice { "n0", {} })));
