A reply that is given up frees its memory at once

Cause, by the code: a connection that is closed for the size of its reply, its own or that of all replies of the process, was deleted with its buffers only at the end of the loop's turn. In one turn up to 64 kB are read from each of 200 connections (12.8 MB, and up to twice of it as strings grow), so that the limit of 4 MB held between turns, but not within one. Now the buffers are freed when the connection is closed. Assigning an empty reply would not do, since a string keeps its memory then.

Evidence: reply_limit_test, 'a reply that is given up frees its memory at once': 8.9 MB allocated at the close before (and with the assignment), less than 1 MB above the start now.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -196,6 +196,8 @@
         return;
     isClosing_ = true;
     ReplyMemory::ofProcess().release(*this);
+    // Freed here, because the connection is deleted only at the end of the loop's turn, in which many more replies may arrive.
+    const HttpResponse abandoned = std::move(response_);
     uv_close(reinterpret_cast<uv_handle_t*>(&socket_), onHandleClosed);
     uv_close(reinterpret_cast<uv_handle_t*>(&connectTimer_), onHandleClosed);
 }
--- a/tests/reply_limit_test.cpp
+++ b/tests/reply_limit_test.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <malloc.h>
+#include <optional>
 
 using namespace limpettrestle;
 
@@ -208,6 +210,49 @@
     CHECK(memory.receivers() == 0);
 }
 
+namespace {
+
+/// Bytes that the process has allocated.
+size_t allocatedBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// Receives a reply of up to 8 MB, and measures the allocated memory when the connection closes.
+struct MeasuringListener final : HttpClientListenerI {
+    static constexpr size_t kMaxBytes = 8 << 20;
+
+    void onConnected(HttpClientConnection& connection) override { connection.send("GET / HTTP/1.1\r\nHost: test\r\n\r\n", "", { false, kMaxBytes }); }
+    ResponseAction onResponse(HttpClientConnection& /*connection*/, HttpResponse /*response*/, bool /*isReusable*/) override { return ResponseAction::Close; }
+    void onClosed(HttpClientConnection& /*connection*/, CloseReason reason) override
+    {
+        closeReason = reason;
+        bytesAtClose = allocatedBytes();
+    }
+
+    std::optional<CloseReason> closeReason;
+    size_t bytesAtClose = 0;
+};
+
+} // namespace
+
+// Guards against the memory of replies that are given up and freed only when the replies of all other connections have been read.
+TEST_CASE("a reply that is given up frees its memory at once")
+{
+    EndlessPeer peer(kOk + "\r\n", repeat("z", 65536), 0);
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    MeasuringListener listener;
+    const size_t before = allocatedBytes();
+    HttpClientConnection::open(&loop, "127.0.0.1", peer.port(), Millis(1000), listener);
+    REQUIRE(runUntil(loop, [&] { return listener.closeReason.has_value(); }));
+    CHECK(*listener.closeReason == CloseReason::TooLarge);
+    CHECK(listener.bytesAtClose < before + (size_t { 1 } << 20));
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+}
+
 TEST_CASE("two hundred replies without end keep memory bounded")
 {
     struct TestCase {
