--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,8 +4,9 @@
 
 
 class Fault:
-    """A fault of a kind on a target. `begin(bed, target, random)` and `end(bed, target)` may be None. `scope`: what it disturbs:
-    "gateway" (the target), "store" (all), or "replica" (nothing that a gateway must not bear)."""
+    """A kind of fault. `targets`: attribute of the bed from which a target is drawn, or "store". `begin(bed, target, random)` starts the fault,
+    `end(bed, target)`, if given, ends it after a time drawn from `seconds`. `scope`: whom it excuses from bounds on time: "gateway" (the
+    target), "store" (all gateways), "stop" (the target, from being in touch only: requests must still be answered), or "replica" (nobody)."""
 
     def __init__(self, targets, begin, end=None, scope="replica", seconds=(0.5, 4.0)):
         self.targets, self.begin, self.end, self.scope, self.seconds = targets, begin, end, scope, seconds
@@ -72,7 +73,7 @@
     bed.store.fault = None
 
 
-# Kinds of faults by name. "any" replicas include those that other faults disturb at the same time.
+# Faults by name. A target may have several at the same time.
 FAULTS = {
     "replica_sheds": Fault("replicas", set_mode("shed"), clear_mode),
     "replica_is_silent": Fault("replicas", set_mode("silent"), clear_mode),
--- a/soak/run.py
+++ b/soak/run.py
@@ -45,7 +45,7 @@
 
     def __init__(self, bed, service, number, records=()):
         self.link = None
-        self.left_at, self.broken = None, []
+        self.left_at = None
         super().__init__(bed.store, service, number, records=records, delay=bed.work_s)
         self.link = Link(bed.loop, self.server.port)
         self.report()
@@ -173,7 +173,7 @@
         self.store.write("op/config", {"version": self.version, "routes": routes, "backends": services, "limits": limits})
 
     def is_in_touch(self, gateway, begin, end, scopes=("gateway", "store", "stop")):
-        """True when nothing in `scopes` has disturbed the gateway from the stable time before `begin` until `end`."""
+        """True when no fault of `scopes` has disturbed the gateway from STABLE_S before `begin` until `end`."""
         return not any(scope in scopes and (scope == "store" or target is gateway or target is self.store) and start < end and (stop is None or stop > begin - STABLE_S)
                        for start, stop, scope, target, _ in self.disturbances)
 
@@ -355,7 +355,6 @@
         target = self.bed.store if fault.targets == "store" else self.random.choice(getattr(self.bed, fault.targets))
         length = self.random.uniform(*fault.seconds)
         self.counts[name] = self.counts.get(name, 0) + 1
-        # A stop is planned work until the end of its grace period, and its process starts again.
         record = [time.monotonic(), None, fault.scope, target, name]
         self.bed.disturbances.append(record)
         fault.begin(self.bed, target, self.random)
