A response whose status is not from 100 to 599 is not accepted

What callers saw: a replica sent status 000, and the caller of a submission got "HTTP/1.1 0 <unknown>" with the replica's body and signature; statuses 099, 600 and 999 were passed on likewise.

Cause: the parser takes any number up to 999 for a status, and a status below 500 counts as an answer that is passed on.

Evidence: tests "a response whose status is not from 100 to 599 is not accepted" and invalid_answers_reach_nobody. On both fail: 000, 001, 0, 20, 99, 099, 600 and 999 are accepted by the client connection, and the process test reads BadStatusLine('HTTP/1.1 0 <unknown>') for 000, the same with 99 for 099, and statuses 600 and 999 with the replica's body. Statuses that are no number, or of four digits above 999, were rejected before; their cases stay.

Change: the client connection rejects the head as soon as the status is known, so that the call ends as malformed like one with bytes that are no HTTP. All readers of the gateway (replicas, instances, registry) use this connection.

After: both tests pass; a submission ends with 502, and a search leaves the shard out.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -18,6 +18,8 @@
     constexpr size_t kMaxHeadBytes = 32 << 10;
     /// Memory of a header field besides its name and value.
     constexpr size_t kFieldBytes = sizeof(HeaderField);
+    constexpr int kMinStatus = 100;
+    constexpr int kMaxStatus = 599;
     /// Received bytes that are allowed for each byte of the body limit, because chunks of a few bytes have longer frames.
     constexpr size_t kMaxFramingFactor = 8;
 
@@ -254,6 +256,8 @@
 {
     HttpClientConnection& self = ownerOf(parser);
     self.response_.status = static_cast<int>(parser->status_code);
+    if (self.response_.status < kMinStatus || self.response_.status > kMaxStatus)
+        return -1;
     // This is also the case when the end of the connection marks the end of the body.
     self.response_.isLast = http_should_keep_alive(parser) == 0;
     if (self.options_.isHeadMethod)
--- a/standins/registry_platform.py
+++ b/standins/registry_platform.py
@@ -125,7 +125,8 @@
     (accepts calls without a reply), "copies" (sends each reply again after 5 ms), "copies_without_id" (the second one
     without the request's ID), "shed_once_copied" (refuses the first call of each request, and sends the refusal again
     after 30 ms), "shed_twice_copied" (the first two calls of each request whose ID begins with "p" are refused, the second one
-    after a pause of 150 ms, and the first refusal comes again after 300 ms), or one of `BROKEN_REPLIES` (ends the reply halfway). A request whose path contains `crashes_on` ends the
+    after a pause of 150 ms, and the first refusal comes again after 300 ms), or one of `BROKEN_REPLIES` (ends the reply halfway).
+    `script`, if set, makes the bytes of each reply from its fields, as a dictionary, and its body. A request whose path contains `crashes_on` ends the
     replica's process: its connections and its listener close, and it is back after `restart_after` seconds.
     """
 
@@ -137,6 +138,7 @@
         self.id = f"i-{service}-{number}"
         self.records = list(records)
         self.delay, self.mode, self.runs, self.seq, self.state = delay, "ok", [], 0, "ready"
+        self.script = None
         # Port that the replica registers instead of its own, when callers reach it through a proxy.
         self.reported_port = None
         self.born = int(time.time() * 1000)
@@ -227,6 +229,9 @@
             time.sleep(self.delay)
             headers["X-Server-Stamp"] = f"{self.id}.{request.headers.get('X-Request-Id')}"
             body = b"".join(self.records) if self.records else f"{request.command} {request.path}".encode()
+        if self.script:
+            request.wfile.write(self.script(headers, body))
+            return
         if self.mode in self.BROKEN_REPLIES:
             self.break_off(request, headers, body)
             return
--- a/tests/gateway_failures_test.py
+++ b/tests/gateway_failures_test.py
@@ -178,6 +178,45 @@
     require(cluster.gateways[0].request("/all/q", "after")[2] == whole, "does not recover")
 
 
+def encode_reply(status_line, fields, body):
+    return status_line + b"\r\n" + b"".join(f"{name}: {value}\r\n".encode() for name, value in fields.items()) + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+# Replies that are no valid HTTP, by what is wrong with them.
+INVALID_REPLIES = {
+    **{f"status {status}": lambda fields, body, status=status: encode_reply(b"HTTP/1.1 %s OK" % status.encode(), fields, body) for status in ("000", "099", "600", "999")},
+}
+
+
+def ask_or_describe(gateway, path, request_id, method="GET", body=None):
+    """Returns the status, headers and body, or instead of a status the problem of an answer that cannot be read."""
+    try:
+        return gateway.request(path, request_id, method, body)
+    except (http.client.HTTPException, OSError) as problem:
+        return repr(problem), {}, b""
+
+
+def invalid_answers_reach_nobody(cluster):
+    """An answer that is no valid HTTP is neither passed on nor merged, whatever is wrong with it."""
+    gateway = cluster.gateways[0]
+    broken = [*card_replicas(cluster), cluster.replicas[0], cluster.replicas[1]]
+    passed_on = []
+    for number, (what, script) in enumerate(INVALID_REPLIES.items()):
+        for replica in broken:
+            replica.script = script
+        status, headers, body = ask_or_describe(gateway, "/card/x", f"i{number}", "POST", b"x")
+        if status != 502 or "X-Server-Stamp" in headers or b"/card/x" in body:
+            passed_on.append((what, status, headers, body))
+        status, headers, body = ask_or_describe(gateway, "/all/q", f"j{number}")
+        if status != 200 or headers.get("X-Missing-Parts") != "1" or b"\x01" in body[::16]:
+            passed_on.append((what, "search", status, headers.get("X-Missing-Parts")))
+        for replica in broken:
+            replica.script = None
+        time.sleep(1.2)
+    require(not passed_on, "passed on:\n" + "\n".join(map(str, passed_on)))
+    require(gateway.request("/card/x", "after", "POST", b"x")[::2] == (200, b"POST /card/x"), "does not recover")
+
+
 def evacuated_zones(gateway):
     return {entry["zone"] for entry in json.loads(Gateway.get(gateway.metrics, "/status")[2])["evacuated_zones"]}
 
@@ -262,7 +301,7 @@
 
 
 base.TESTS = [late_copies_reach_nobody, late_refusal_is_no_answer_to_the_repeat, stop_answers_what_was_accepted, restart_does_not_bring_back_what_left,
-              malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success, evacuated_zone_gets_nothing,
+              malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success, invalid_answers_reach_nobody, evacuated_zone_gets_nothing,
               reader_of_an_earlier_build_is_not_relied_on]
 
 if __name__ == "__main__":
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,6 +1,7 @@
 /// Handling of complete, truncated, invalid and unexpected replies by a client connection.
 
 #include "../src/net/http_client.h"
+#include "support/odd_responses.h"
 #include "support/raw_peer.h"
 
 #include <catch2/catch.hpp>
@@ -116,3 +117,13 @@
     REQUIRE(listener.bodies.size() == 1);
     CHECK(listener.bodies[0] == "mine");
 }
+
+TEST_CASE("a response whose status is not from 100 to 599 is not accepted")
+{
+    for (const OddResponse& response : responsesWithBadStatus()) {
+        INFO(response.what);
+        const RecordingListener listener = runExchange(response.bytes, PeerEnd::Graceful);
+        CHECK(listener.bodies.empty());
+        CHECK(listener.closeReason == CloseReason::Protocol);
+    }
+}
