Responses are checked against the strict syntax of HTTP/1.1

What callers saw: a replica's answer with a space in a field name, before the colon or before a name was passed on with that line, which the caller cannot read, or its continuation was joined to the value before. "Content-Length : 12" did not count as a length, so that the body went on until the connection closed. The same went through in interim heads and in trailers, and so did a control byte in the reason phrase, status 0200, versions 0.9, 2.0 and 9.9, HXXX for HTTP, and any two bytes for the line end behind a chunk.

Cause: Debian builds the parser in its lenient form, which takes spaces for bytes of a name, joins continued lines and skips many of its own checks.

Control bytes, DEL and bytes from 0x80 in names, and control bytes in values were rejected before; their cases stay.

Change: ResponseSyntax, a state machine without I/O, reads the same bytes beside the parser, and what it rejects ends the call as malformed. It replaces the check of the status alone.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -18,8 +18,6 @@
     constexpr size_t kMaxHeadBytes = 32 << 10;
     /// Memory of a header field besides its name and value.
     constexpr size_t kFieldBytes = sizeof(HeaderField);
-    constexpr int kMinStatus = 100;
-    constexpr int kMaxStatus = 599;
     /// Received bytes that are allowed for each byte of the body limit, because chunks of a few bytes have longer frames.
     constexpr size_t kMaxFramingFactor = 8;
 
@@ -135,6 +133,10 @@
     receivedBytes_ += length;
     const size_t parsed = http_parser_execute(&parser_, &parserSettings(), data, length);
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    if (!syntax_.check({ data, parsed }, (parser_.flags & F_CHUNKED) != 0)) {
+        closeAndNotify(CloseReason::Protocol);
+        return;
+    }
     if (isMessageComplete_) {
         finishResponse(data + parsed, length - parsed);
         return;
@@ -215,6 +217,7 @@
 {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
+    syntax_.reset();
     response_ = {};
     isMessageComplete_ = false;
     isAfterHeaderValue_ = false;
@@ -256,8 +259,6 @@
 {
     HttpClientConnection& self = ownerOf(parser);
     self.response_.status = static_cast<int>(parser->status_code);
-    if (self.response_.status < kMinStatus || self.response_.status > kMaxStatus)
-        return -1;
     // This is also the case when the end of the connection marks the end of the body.
     self.response_.isLast = http_should_keep_alive(parser) == 0;
     if (self.options_.isHeadMethod)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -4,6 +4,7 @@
 
 #include "http_message.h"
 #include "reply_memory.h"
+#include "response_syntax.h"
 
 #include <http_parser.h>
 #include <uv.h>
@@ -111,6 +112,7 @@
     uv_timer_t connectTimer_;
     uv_connect_t connectRequest_;
     http_parser parser_;
+    ResponseSyntax syntax_;
     HttpResponse response_;
     bool isConnected_ = false;
     bool isClosing_ = false;
--- a/tests/gateway_failures_test.py
+++ b/tests/gateway_failures_test.py
@@ -178,13 +178,29 @@
     require(cluster.gateways[0].request("/all/q", "after")[2] == whole, "does not recover")
 
 
-def encode_reply(status_line, fields, body):
-    return status_line + b"\r\n" + b"".join(f"{name}: {value}\r\n".encode() for name, value in fields.items()) + b"Content-Length: %d\r\n\r\n" % len(body) + body
+def encode_reply(status_line, fields, body, extra=b"", trailers=None, chunk_end=b"\r\n"):
+    """Bytes of a reply with the lines `extra` in its head, in one chunk if it has trailers."""
+    head = status_line + b"\r\n" + extra + b"".join(f"{name}: {value}\r\n".encode() for name, value in fields.items())
+    if trailers is None:
+        return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    return head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body) + body + chunk_end + b"0\r\n" + trailers + b"\r\n"
 
 
+OK = b"HTTP/1.1 200 OK"
 # Replies that are no valid HTTP, by what is wrong with them.
 INVALID_REPLIES = {
-    **{f"status {status}": lambda fields, body, status=status: encode_reply(b"HTTP/1.1 %s OK" % status.encode(), fields, body) for status in ("000", "099", "600", "999")},
+    **{f"status {status}": lambda fields, body, status=status: encode_reply(b"HTTP/1.1 %s OK" % status.encode(), fields, body) for status in ("000", "099", "600", "999", "0200")},
+    "space in a name": lambda fields, body: encode_reply(OK, fields, body, b"X Odd: 1\r\n"),
+    "space before the colon": lambda fields, body: encode_reply(OK, fields, body, b"X-Odd : 1\r\n"),
+    "space before a name": lambda fields, body: encode_reply(OK, fields, body, b" X-Odd: 1\r\n"),
+    "continued line": lambda fields, body: encode_reply(OK, fields, body, b"X-Odd: 1\r\n X-Odder: 2\r\n"),
+    "control byte in a name": lambda fields, body: encode_reply(OK, fields, body, b"X\x01Odd: 1\r\n"),
+    "length with a space before the colon": lambda fields, body: (OK + b"\r\n" + b"".join(f"{name}: {value}\r\n".encode() for name, value in fields.items())
+                                                                  + b"Content-Length : %d\r\nConnection: close\r\n\r\n" % len(body) + body + b"and more"),
+    "space in a name of an interim head": lambda fields, body: b"HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + encode_reply(OK, fields, body),
+    "space in a name of the trailers": lambda fields, body: encode_reply(OK, fields, body, trailers=b"X Odd: 1\r\n"),
+    "control byte in the reason": lambda fields, body: encode_reply(b"HTTP/1.1 200 O\x01K", fields, body),
+    "other bytes for the line end behind a chunk": lambda fields, body: encode_reply(OK, fields, body, trailers=b"", chunk_end=b"XY"),
 }
 
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -127,3 +127,22 @@
         CHECK(listener.closeReason == CloseReason::Protocol);
     }
 }
+
+TEST_CASE("a response whose head, trailers or chunks are not valid is not accepted")
+{
+    for (const OddResponse& response : responsesWithBadSyntax()) {
+        INFO(response.what);
+        const RecordingListener listener = runExchange(response.bytes, PeerEnd::Graceful);
+        CHECK(listener.bodies.empty());
+        CHECK(listener.closeReason == CloseReason::Protocol);
+    }
+}
+
+TEST_CASE("an unusual but valid response is accepted")
+{
+    for (const OddResponse& response : soundResponses()) {
+        INFO(response.what);
+        const RecordingListener listener = runExchange(response.bytes, PeerEnd::Graceful);
+        CHECK(listener.bodies == std::vector<std::string> { kOddBody });
+    }
+}
