Responses that have no body by their status are read and sent without one

What callers saw: a replica's 204 with bytes behind its head went out with these bytes and without a length, so that on a kept connection they stood where the next answer begins. An interim head with a length took its bytes from the final response, which was lost; a 304 that announced the length of another response waited for a body that does not come.

Cause: the parser reads a body wherever one is announced, and the server left out the length of a 204 but not the body.

Change: both sides ask allowsBody(). The client connection ends such a response with its head, as RFC 9112, section 6.3 says; after a 204 that announced a body it does not use the connection again. The server sends no body, also for answers that another instance relays.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -18,6 +18,9 @@
     constexpr size_t kMaxHeadBytes = 32 << 10;
     /// Memory of a header field besides its name and value.
     constexpr size_t kFieldBytes = sizeof(HeaderField);
+    constexpr int kNoContent = 204;
+    /// Tells the parser that the response ends with its head.
+    constexpr int kSkipBody = 1;
     /// Received bytes that are allowed for each byte of the body limit, because chunks of a few bytes have longer frames.
     constexpr size_t kMaxFramingFactor = 8;
 
@@ -261,9 +264,14 @@
     self.response_.status = static_cast<int>(parser->status_code);
     // This is also the case when the end of the connection marks the end of the body.
     self.response_.isLast = http_should_keep_alive(parser) == 0;
-    if (self.options_.isHeadMethod)
-        return 1;
     const bool hasLength = parser->content_length != ULLONG_MAX;
+    if (self.options_.isHeadMethod || !allowsBody(self.response_.status)) {
+        // A 204 response announces no body, so one that does may be followed by bytes that belong to no response. A 304
+        // response announces the body that another response would have.
+        const bool announcesBody = (parser->flags & F_CHUNKED) != 0 || (hasLength && parser->content_length > 0);
+        self.response_.isLast = self.response_.isLast || (self.response_.status == kNoContent && announcesBody);
+        return kSkipBody;
+    }
     self.isTooLarge_ = hasLength && parser->content_length > self.options_.maxBodyBytes;
     return self.isTooLarge_ ? -1 : 0;
 }
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -14,6 +14,9 @@
 
     constexpr std::string_view kTimeoutParameter = "timeout=";
 
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
+
     bool isHopByHop(std::string_view name)
     {
         return std::any_of(kHopByHop.begin(), kHopByHop.end(), [name](std::string_view hop) { return equalsIgnoringCase(hop, name); });
@@ -71,6 +74,11 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
+bool allowsBody(int status)
+{
+    return status >= 200 && status != kNoContent && status != kNotModified;
+}
+
 void appendHeader(std::string& out, std::string_view name, std::string_view value)
 {
     out.append(name);
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -42,6 +42,8 @@
 /// Removes hop-by-hop headers, including those listed in `Connection`.
 void removeHopByHop(std::vector<HeaderField>& headers);
 std::string_view reasonPhrase(int status);
+/// Returns false if a response with this status ends with its head, whatever its headers announce (RFC 9112, section 6.3).
+bool allowsBody(int status);
 /// Appends "name: value" and CRLF.
 void appendHeader(std::string& out, std::string_view name, std::string_view value);
 /// Returns N of `Keep-Alive: timeout=N` in seconds; negative when absent.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -28,7 +28,7 @@
         std::string head = fmt::format("HTTP/1.1 {} {}\r\n", response.status, reasonPhrase(response.status));
         for (const HeaderField& header : response.headers)
             appendHeader(head, header.name, header.value);
-        if (response.status != 204 && response.status != 304)
+        if (allowsBody(response.status))
             appendHeader(head, "Content-Length", std::to_string(response.body.size()));
         if (isLast)
             appendHeader(head, "Connection", "close");
@@ -69,8 +69,9 @@
         const bool isLast = !keepsAlive_ || ((response.isLast || server_->isDraining_) && !hasPipelinedBytes());
         stateSince_ = server_->clock_.now();
         const std::string head = encodeHead(response, isLast);
+        const bool omitsBody = method_ == HTTP_HEAD || !allowsBody(response.status);
         const std::string emptyBody;
-        if (writeOrQueue(stream(), head, method_ == HTTP_HEAD ? emptyBody : response.body, pendingWrites_) == WriteResult::Failed) {
+        if (writeOrQueue(stream(), head, omitsBody ? emptyBody : response.body, pendingWrites_) == WriteResult::Failed) {
             close();
             return;
         }
--- a/tests/gateway_failures_test.py
+++ b/tests/gateway_failures_test.py
@@ -233,6 +233,22 @@
     require(gateway.request("/card/x", "after", "POST", b"x")[::2] == (200, b"POST /card/x"), "does not recover")
 
 
+def body_of_a_204_reaches_nobody(cluster):
+    """Bytes behind the head of an answer with status 204 are not sent to the caller."""
+    framings = {"length": lambda fields, body: encode_reply(b"HTTP/1.1 204 No Content", fields, body),
+                "chunks": lambda fields, body: encode_reply(b"HTTP/1.1 204 No Content", fields, body, trailers=b"")}
+    for framing, script in framings.items():
+        for replica in card_replicas(cluster):
+            replica.script = script
+        requests = [f"POST /card/x HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: n-{framing}-{number}\r\nX-Deadline-Ms: 2000\r\nContent-Length: 1\r\n{fields}\r\nx"
+                    for number, fields in enumerate(("", "Connection: close\r\n"))]
+        with socket.create_connection((HOST, cluster.gateways[0].caller), timeout=5) as connection:
+            connection.sendall("".join(requests).encode())
+            received = b"".join(iter(lambda c=connection: c.recv(4096), b""))
+        heads = received.split(b"\r\n\r\n")
+        require(len(heads) == 3 and heads[2] == b"" and all(head.startswith(b"HTTP/1.1 204 ") for head in heads[:2]), f"{framing}: {received}")
+
+
 def evacuated_zones(gateway):
     return {entry["zone"] for entry in json.loads(Gateway.get(gateway.metrics, "/status")[2])["evacuated_zones"]}
 
@@ -317,8 +333,8 @@
 
 
 base.TESTS = [late_copies_reach_nobody, late_refusal_is_no_answer_to_the_repeat, stop_answers_what_was_accepted, restart_does_not_bring_back_what_left,
-              malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success, invalid_answers_reach_nobody, evacuated_zone_gets_nothing,
-              reader_of_an_earlier_build_is_not_relied_on]
+              malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success, invalid_answers_reach_nobody, body_of_a_204_reaches_nobody,
+              evacuated_zone_gets_nothing, reader_of_an_earlier_build_is_not_relied_on]
 
 if __name__ == "__main__":
     sys.exit(base.main())
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -146,3 +146,32 @@
         CHECK(listener.bodies == std::vector<std::string> { kOddBody });
     }
 }
+
+TEST_CASE("a response that has no body by its status ends with its head")
+{
+    for (const std::string framing : { "Content-Length: 4\r\n\r\nmore", "Transfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n\r\n" }) {
+        INFO(framing);
+        const RecordingListener listener = runExchange("HTTP/1.1 204 No Content\r\n" + framing, PeerEnd::Graceful);
+        CHECK(listener.bodies == std::vector<std::string> { "" });
+        CHECK_FALSE(listener.wasReusable);
+    }
+    const RecordingListener announcing = runExchange("HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n", PeerEnd::Graceful);
+    CHECK(announcing.bodies == std::vector<std::string> { "" });
+    CHECK_FALSE(announcing.wasReusable);
+    for (const std::string head : { "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n" }) {
+        INFO(head);
+        const RecordingListener listener = runExchange(head, PeerEnd::Graceful);
+        CHECK(listener.bodies == std::vector<std::string> { "" });
+        CHECK(listener.wasReusable);
+    }
+}
+
+TEST_CASE("an interim response has no body")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\n";
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+    CHECK(runExchange(interim + final, PeerEnd::Graceful).bodies == std::vector<std::string> { "mine" });
+    const RecordingListener listener = runExchange(interim + "more" + final, PeerEnd::Graceful);
+    CHECK(listener.bodies.empty());
+    CHECK(listener.closeReason == CloseReason::Protocol);
+}
--- a/tests/pipelined_requests_test.cpp
+++ b/tests/pipelined_requests_test.cpp
@@ -15,7 +15,8 @@
 
 constexpr size_t kStackBytes = 256 << 10;
 
-/// Answers each request with its target as the body; that of "/wait" after a time.
+/// Answers each request with its target as the body; that of "/wait" after a time, and that of "/none" with a status that
+/// allows no body.
 class EchoHandler final : public HttpHandlerI {
 public:
     explicit EchoHandler(uv_loop_t* loop)
@@ -33,7 +34,8 @@
                 &timer_, [](uv_timer_t* timer) { static_cast<EchoHandler*>(timer->data)->answerWaiting(); }, 100, 0);
             return;
         }
-        server->respond(exchange, { 404, {}, std::move(request.target) });
+        const int status = request.target == "/none" ? 204 : 404;
+        server->respond(exchange, { status, {}, std::move(request.target) });
     }
     void onCallerDisconnected(ExchangeId /*exchange*/) override
     {
@@ -214,3 +216,9 @@
     CHECK(received.find("HTTP/1.1 400 ") != std::string::npos);
     CHECK(received.rfind("HTTP/1.1 ") == received.find("HTTP/1.1 400 "));
 }
+
+TEST_CASE("a response whose status allows no body is sent without one")
+{
+    const std::string received = serveCaller("GET /none HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(received == "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 404 Not Found\r\nContent-Length: 5\r\nConnection: close\r\n\r\n/next");
+}
