The test of a slow caller fixes the caller's receive buffer

A trace (trial) shows the caller reading 256 kB a step while the server's queue stays the same for seven steps, 5.6 s of the virtual clock, so that the idle timeout of 5 s ends the connection. The kernel has some 1.4 ms for these steps (39 ms of processor time a run of up to 200). The likely reason: with a receive buffer that grows by itself, up to 33 MB here, it reports what the caller has read late, by timers that the virtual clock outruns.

--- a/tests/slow_caller_test.cpp
+++ b/tests/slow_caller_test.cpp
@@ -46,6 +46,8 @@
         IngressLimits limits;
         limits.idleTimeout = kIdleTimeout;
         server.setLimits(limits);
+        // With a larger buffer, the kernel may report what the caller has read only after a time that the test does not wait.
+        setsockopt(caller_, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -89,6 +91,7 @@
     static constexpr int kFirstPort = 20100;
     static constexpr int kLastPort = 20400;
     static constexpr int kLoopTurns = 20;
+    static constexpr int kReceiveBufferBytes = 64 << 10;
 
     struct Loop {
         Loop() { uv_loop_init(&handle); }
