A body with a transfer coding other than chunks is not accepted

What callers would see: the coded bytes of "Transfer-Encoding: gzip" or "gzip, chunked" as the replica's body, without a header that says so, because the tier removes the headers of its own connection.

Cause: the parser decodes chunks, also behind another coding, and reads a body with any other coding until the connection ends.

Change: the client connection rejects a head whose transfer codings are not exactly "chunked", as it does content codings.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -24,6 +24,19 @@
     /// Received bytes that are allowed for each byte of the body limit, because chunks of a few bytes have longer frames.
     constexpr size_t kMaxFramingFactor = 8;
 
+    /// Returns true if the body has no transfer coding but chunks, which the parser decodes.
+    bool hasKnownCoding(const std::vector<HeaderField>& headers)
+    {
+        std::vector<std::string_view> codings;
+        for (const HeaderField& header : headers) {
+            if (!equalsIgnoringCase(header.name, "transfer-encoding"))
+                continue;
+            const std::vector<std::string_view> listed = splitList(header.value);
+            codings.insert(codings.end(), listed.begin(), listed.end());
+        }
+        return codings.empty() || (codings.size() == 1 && equalsIgnoringCase(codings.front(), "chunked"));
+    }
+
     HttpClientConnection& ownerOf(http_parser* parser) { return *static_cast<HttpClientConnection*>(parser->data); }
 
 } // namespace
@@ -272,6 +285,8 @@
         self.response_.isLast = self.response_.isLast || (self.response_.status == kNoContent && announcesBody);
         return kSkipBody;
     }
+    if (!hasKnownCoding(self.response_.headers))
+        return -1;
     self.isTooLarge_ = hasLength && parser->content_length > self.options_.maxBodyBytes;
     return self.isTooLarge_ ? -1 : 0;
 }
