Numbers in messages of other instances are checked before they are converted

What was seen: "a reply whose routes refer to fields that are missing is rejected" fails on x86-64 each time: an index of 1e300 became 0, so that the route took the fields of another one. On arm64 the same conversion gives the largest integer, and the test passed.

Cause: the library converts a number to the type asked for without a check of its range, and the result for a floating-point number out of range depends on the processor.

Change: requireInteger() refuses what integerOf() does not accept, in all decoders of messages. Result codes, ports and fractions have the range of their type, times in relays and groups are limited to a year like all stated times, and rates have to be finite and not negative.

--- a/src/bounded_json.cpp
+++ b/src/bounded_json.cpp
@@ -55,4 +55,11 @@
     return decode(bytes, json::input_format_t::msgpack);
 }
 
+void throwOutOfRange(const json& value)
+{
+    // ID of the library for a number that is out of range.
+    constexpr int kOutOfRangeId = 406;
+    throw json::out_of_range::create(kOutOfRangeId, "the value is out of the range of its field", &value);
+}
+
 } // namespace limpettrestle
--- a/src/bounded_json.h
+++ b/src/bounded_json.h
@@ -32,4 +32,17 @@
     return std::in_range<Number>(number) ? std::optional<Number>(static_cast<Number>(number)) : std::nullopt;
 }
 
+/// Throws `nlohmann::json::exception`, as the accessors of the library do.
+[[noreturn]] void throwOutOfRange(const nlohmann::json& value);
+
+/// Returns an integer; throws `nlohmann::json::exception` when it is none or out of the range of the type.
+template <typename Number>
+Number requireInteger(const nlohmann::json& value)
+{
+    const std::optional<Number> number = integerOf<Number>(value);
+    if (!number)
+        throwOutOfRange(value);
+    return *number;
+}
+
 } // namespace limpettrestle
--- a/src/gateway/config_messages.cpp
+++ b/src/gateway/config_messages.cpp
@@ -1,7 +1,8 @@
 #include "config_messages.h"
 
+#include "../bounded_json.h"
+
 #include <absl/container/flat_hash_map.h>
-#include <nlohmann/json.hpp>
 #include <tuple>
 
 namespace limpettrestle {
@@ -43,14 +44,14 @@
     void decodeSharedFields(const json& value, RouteSpec& route)
     {
         route.repeat = value.at("once").get<bool>() ? RepeatPolicy::AtMostOnce : RepeatPolicy::Idempotent;
-        route.timeout = Millis(value.at("timeout").get<int64_t>());
-        route.latencyTarget = Millis(value.at("target").get<int64_t>());
-        route.priority = value.at("priority").get<uint32_t>();
-        route.maxAttempts = value.at("attempts").get<uint32_t>();
+        route.timeout = Millis(requireInteger<int64_t>(value.at("timeout")));
+        route.latencyTarget = Millis(requireInteger<int64_t>(value.at("target")));
+        route.priority = requireInteger<uint32_t>(value.at("priority"));
+        route.maxAttempts = requireInteger<uint32_t>(value.at("attempts"));
         for (const json& share : value.at("shares"))
-            route.shares.push_back({ share.at(0).get<std::string>(), share.at(1).get<uint32_t>() });
+            route.shares.push_back({ share.at(0).get<std::string>(), requireInteger<uint32_t>(share.at(1)) });
         route.shards = value.at("shards").get<std::vector<std::string>>();
-        route.topRecords = value.at("top").get<uint32_t>();
+        route.topRecords = requireInteger<uint32_t>(value.at("top"));
         route.minCoverage = value.at("coverage").get<double>();
         // Earlier builds do not send this field.
         route.homeRegions = value.value("homes", std::vector<std::string>());
@@ -103,7 +104,7 @@
         std::vector<RouteSpec> routes;
         routes.reserve(list.size());
         for (const json& value : list) {
-            const auto index = value.at(3).get<size_t>();
+            const auto index = requireInteger<size_t>(value.at(3));
             // Throws like all other malformed values when the index is out of range.
             static_cast<void>(fields.at(index));
             RouteSpec& route = routes.emplace_back(shared[index]);
@@ -116,9 +117,9 @@
 
     ServiceSpec decodeService(const json& value)
     {
-        ServiceSpec service { value.at(0).get<std::string>(), value.at(1).get<uint32_t>() };
+        ServiceSpec service { value.at(0).get<std::string>(), requireInteger<uint32_t>(value.at(1)) };
         if (value.size() > kServiceWarmupField) {
-            service.warmup = Millis(value.at(kServiceWarmupField).get<int64_t>());
+            service.warmup = Millis(requireInteger<int64_t>(value.at(kServiceWarmupField)));
             service.coldRate = value.at(kServiceWarmupField + 1).get<double>();
         }
         return service;
@@ -149,13 +150,13 @@
 RoutingDocument decodeConfig(const json& value)
 {
     RoutingDocument document;
-    document.version = value.at("version").get<uint64_t>();
+    document.version = requireInteger<uint64_t>(value.at("version"));
     const auto fields = value.find("route_fields");
     document.routes = fields != value.end() ? decodeSharedRoutes(value.at("routes"), *fields) : decodePlainRoutes(value.at("routes"));
     for (const json& service : value.at("services"))
         document.services.push_back(decodeService(service));
     const json& limits = value.at("limits");
-    document.limits = { limits.at(0).get<uint32_t>(), limits.at(1).get<uint32_t>(), Millis(limits.at(2).get<int64_t>()), Millis(limits.at(3).get<int64_t>()) };
+    document.limits = { requireInteger<uint32_t>(limits.at(0)), requireInteger<uint32_t>(limits.at(1)), Millis(requireInteger<int64_t>(limits.at(2))), Millis(requireInteger<int64_t>(limits.at(3))) };
     return document;
 }
 
--- a/src/gateway/crash_messages.cpp
+++ b/src/gateway/crash_messages.cpp
@@ -20,7 +20,7 @@
 
     Micros decodeAge(const json& value)
     {
-        return std::clamp<Micros>(Micros(value.get<int64_t>()), Micros(0), kMaxAge);
+        return std::clamp<Micros>(Micros(requireInteger<int64_t>(value)), Micros(0), kMaxAge);
     }
 
 } // namespace
@@ -48,9 +48,9 @@
         if (reports.size() > kMaxNoticeEntries || cleared.size() > kMaxNoticeEntries)
             return std::nullopt;
         for (const json& report : reports)
-            notice.reports.push_back({ { report.at(0).get<std::string>(), report.at(1).get<int64_t>() }, { report.at(2).get<uint64_t>() }, now - decodeAge(report.at(3)), now - decodeAge(report.at(4)) });
+            notice.reports.push_back({ { report.at(0).get<std::string>(), requireInteger<int64_t>(report.at(1)) }, { requireInteger<uint64_t>(report.at(2)) }, now - decodeAge(report.at(3)), now - decodeAge(report.at(4)) });
         for (const json& request : cleared)
-            notice.cleared.push_back({ request.get<uint64_t>() });
+            notice.cleared.push_back({ requireInteger<uint64_t>(request) });
         return notice;
     } catch (const json::exception&) {
         return std::nullopt;
@@ -71,7 +71,7 @@
     for (const json& entry : list) {
         if (entries.size() == kMaxQuarantineEntries)
             break;
-        entries.push_back({ { entry.at(0).get<uint64_t>() }, decodeAge(entry.at(1)), entry.at(2).get<uint32_t>() });
+        entries.push_back({ { requireInteger<uint64_t>(entry.at(0)) }, decodeAge(entry.at(1)), requireInteger<uint32_t>(entry.at(2)) });
     }
     return entries;
 }
--- a/src/gateway/fact_messages.cpp
+++ b/src/gateway/fact_messages.cpp
@@ -1,7 +1,8 @@
 #include "fact_messages.h"
 
+#include "../bounded_json.h"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace limpettrestle {
 
@@ -58,10 +59,10 @@
         if (!kind || value.size() < kEntryFields || entries.size() == SharedFacts::kMaxFacts)
             continue;
         FactEntry& entry = entries.emplace_back(FactEntry { *kind, value.at(1).get<std::string>(), value.at(2).get<bool>() });
-        entry.version = { value.at(3).get<uint64_t>(), value.at(4).get<uint64_t>() };
+        entry.version = { requireInteger<uint64_t>(value.at(3)), requireInteger<uint64_t>(value.at(4)) };
         entry.source = value.at(5).get<std::string>();
-        entry.age = clampTime(value.at(6).get<int64_t>());
-        const int64_t timeLeft = value.at(7).get<int64_t>();
+        entry.age = clampTime(requireInteger<int64_t>(value.at(6)));
+        const int64_t timeLeft = requireInteger<int64_t>(value.at(7));
         if (timeLeft != kNoEnd)
             entry.timeLeft = clampTime(timeLeft);
     }
--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -1,6 +1,5 @@
 #include "gather_messages.h"
 
-#include "../bounded_json.h"
 #include "message_pack.h"
 
 #include <cmath>
@@ -26,6 +25,15 @@
     /// Admitted fractions are sent as multiples of its inverse.
     constexpr double kFractionScale = 255;
 
+    /// Throws when the value is negative or no number that a limit can be.
+    double rateOf(const json& value)
+    {
+        const auto perSecond = value.get<double>();
+        if (!std::isfinite(perSecond) || perSecond < 0)
+            throwOutOfRange(value);
+        return perSecond;
+    }
+
     /// Sets an optional field; those before it that are not sent are null.
     void setField(json& root, size_t index, json value)
     {
@@ -62,16 +70,16 @@
         request.forwarded.commonHead = bytesOf(root.at(4));
         request.route = root.at(5).get<std::string>();
         request.shards = root.at(6).get<std::vector<std::string>>();
-        request.softTimeout = Micros(root.at(7).get<int64_t>());
-        request.timeLeft = Millis(root.at(8).get<int64_t>());
-        request.maxAttempts = root.at(9).get<uint32_t>();
-        request.topRecords = root.at(10).get<uint32_t>();
+        request.softTimeout = microsOf(root.at(7));
+        request.timeLeft = millisOf(root.at(8));
+        request.maxAttempts = requireInteger<uint32_t>(root.at(9));
+        request.topRecords = requireInteger<uint32_t>(root.at(10));
         if (root.size() > kFingerprintField)
-            request.forwarded.fingerprint.value = root.at(kFingerprintField).get<uint64_t>();
+            request.forwarded.fingerprint.value = requireInteger<uint64_t>(root.at(kFingerprintField));
         if (root.size() > kHomeRegionsField && !root.at(kHomeRegionsField).is_null())
             request.homeRegions = root.at(kHomeRegionsField).get<std::vector<std::string>>();
         if (root.size() > kRankField && !root.at(kRankField).is_null())
-            request.rank = root.at(kRankField).get<uint32_t>();
+            request.rank = requireInteger<uint32_t>(root.at(kRankField));
         if (request.shards.empty() || request.shards.size() > kMaxGroupShards || request.timeLeft <= Millis::zero() || request.maxAttempts == 0)
             return std::nullopt;
         return request;
@@ -109,19 +117,19 @@
             reply.signatures.push_back(bytesOf(signature));
         reply.missing = decodeMissing(root.at(1));
         reply.records = bytesOf(root.at(2));
-        reply.callsSent = root.at(3).get<uint32_t>();
-        reply.repeats = root.at(4).get<uint32_t>();
+        reply.callsSent = requireInteger<uint32_t>(root.at(3));
+        reply.repeats = requireInteger<uint32_t>(root.at(4));
         if (root.size() > kLeavingReplicasField) {
             for (const json& run : root.at(kLeavingReplicasField))
-                reply.leavingReplicas.push_back({ run.at(0).get<std::string>(), run.at(1).get<int64_t>() });
+                reply.leavingReplicas.push_back({ run.at(0).get<std::string>(), requireInteger<int64_t>(run.at(1)) });
         }
         if (root.size() > kRateLimitsField) {
             for (const json& limit : root.at(kRateLimitsField))
-                reply.rateLimits.push_back({ { limit.at(0).get<std::string>(), limit.at(1).get<int64_t>() }, limit.at(2).get<double>() });
+                reply.rateLimits.push_back({ { limit.at(0).get<std::string>(), requireInteger<int64_t>(limit.at(1)) }, rateOf(limit.at(2)) });
         }
         if (root.size() > kAdmittedFractionsField) {
             for (const json& fraction : root.at(kAdmittedFractionsField))
-                reply.admittedFractions.push_back(fraction.get<uint32_t>() / kFractionScale);
+                reply.admittedFractions.push_back(requireInteger<uint8_t>(fraction) / kFractionScale);
         }
         return reply;
     } catch (const json::exception&) {
--- a/src/gateway/message_pack.cpp
+++ b/src/gateway/message_pack.cpp
@@ -13,6 +13,15 @@
         return part.runs + (part.reason == ResultCode::ServerShed ? 1 : 0);
     }
 
+    template <typename Time>
+    Time timeOf(const json& value)
+    {
+        const Time time(requireInteger<int64_t>(value));
+        if (time < -kMaxStatedTime || time > kMaxStatedTime)
+            throwOutOfRange(value);
+        return time;
+    }
+
 } // namespace
 
 std::string toMessagePack(const json& root)
@@ -48,10 +57,25 @@
 {
     std::vector<MissingPart> missing;
     for (const json& entry : list) {
-        MissingPart& part = missing.emplace_back(MissingPart { entry.at(0).get<std::string>(), static_cast<ResultCode>(entry.at(1).get<int>()), entry.at(2).get<uint32_t>() });
-        part.sentCalls = entry.size() > kSentCallsField ? entry.at(kSentCallsField).get<uint32_t>() : impliedSentCalls(part);
+        MissingPart& part = missing.emplace_back(MissingPart { entry.at(0).get<std::string>(), resultCodeOf(entry.at(1)), requireInteger<uint32_t>(entry.at(2)) });
+        part.sentCalls = entry.size() > kSentCallsField ? requireInteger<uint32_t>(entry.at(kSentCallsField)) : impliedSentCalls(part);
     }
     return missing;
 }
 
+ResultCode resultCodeOf(const json& value)
+{
+    return static_cast<ResultCode>(requireInteger<std::underlying_type_t<ResultCode>>(value));
+}
+
+Millis millisOf(const json& value)
+{
+    return timeOf<Millis>(value);
+}
+
+Micros microsOf(const json& value)
+{
+    return timeOf<Micros>(value);
+}
+
 } // namespace limpettrestle
--- a/src/gateway/message_pack.h
+++ b/src/gateway/message_pack.h
@@ -3,10 +3,10 @@
 /// Fields that several MessagePack messages between instances have in common. The decoders throw `nlohmann::json::exception`
 /// when a field is missing or has the wrong type.
 
+#include "../bounded_json.h"
+#include "../stated_time.h"
 #include "limpettrestle/routing.h"
 
-#include <nlohmann/json.hpp>
-
 namespace limpettrestle {
 
 using json = nlohmann::json;
@@ -16,5 +16,9 @@
 std::string bytesOf(const json& value);
 json encodeMissing(const std::vector<MissingPart>& missing);
 std::vector<MissingPart> decodeMissing(const json& list);
+ResultCode resultCodeOf(const json& value);
+/// Throws also when the time is longer than `kMaxStatedTime`, before or after zero.
+Millis millisOf(const json& value);
+Micros microsOf(const json& value);
 
 } // namespace limpettrestle
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -37,11 +37,12 @@
     std::optional<ReplicaEntry> decodeEntry(const json& value)
     {
         const std::optional<int> port = integerOf<int>(value.at(3));
+        const std::optional<int> state = integerOf<int>(value.at(6));
         const std::optional<uint32_t> slots = integerOf<uint32_t>(value.at(5));
         const std::optional<int64_t> warmupMs = integerOf<int64_t>(value.at(7));
         const std::optional<int64_t> startedAt = integerOf<int64_t>(value.at(8));
         const std::optional<uint64_t> sequence = integerOf<uint64_t>(value.at(9));
-        if (!port || !slots || !warmupMs || !startedAt || !sequence)
+        if (!port || !state || !slots || !warmupMs || !startedAt || !sequence)
             return std::nullopt;
         ReplicaEntry entry;
         entry.id = value.at(0).get<std::string>();
@@ -50,7 +51,7 @@
         entry.port = *port;
         entry.zone = value.at(4).get<std::string>();
         entry.slots = *slots;
-        entry.state = value.at(6).get<int>() == 0 ? ReplicaState::Ready : ReplicaState::Draining;
+        entry.state = *state == 0 ? ReplicaState::Ready : ReplicaState::Draining;
         entry.warmupLeft = Millis(*warmupMs);
         entry.startedAt = *startedAt;
         entry.sequence = *sequence;
@@ -78,9 +79,9 @@
     {
         std::vector<InstanceInfo> instances;
         for (const json& entry : list) {
-            InstanceInfo& instance = instances.emplace_back(InstanceInfo { entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), entry.at(2).get<std::string>(), entry.at(3).get<int>() });
+            InstanceInfo& instance = instances.emplace_back(InstanceInfo { entry.at(0).get<std::string>(), entry.at(1).get<std::string>(), entry.at(2).get<std::string>(), requireInteger<uint16_t>(entry.at(3)) });
             if (entry.size() > kInstanceFeaturesField)
-                instance.features = entry.at(kInstanceFeaturesField).get<uint32_t>();
+                instance.features = requireInteger<uint32_t>(entry.at(kInstanceFeaturesField));
         }
         return instances;
     }
@@ -89,8 +90,10 @@
     bool parseAddress(std::string_view text, InstanceInfo& out)
     {
         const size_t colon = text.rfind(':');
-        if (colon == std::string_view::npos || !parseNumber(text.substr(colon + 1), out.port))
+        uint16_t port = 0;
+        if (colon == std::string_view::npos || !parseNumber(text.substr(colon + 1), port))
             return false;
+        out.port = port;
         out.host = text.substr(0, colon);
         return true;
     }
@@ -232,22 +235,22 @@
     try {
         const json root = parseBoundedJson(text);
         ChangesReply reply;
-        reply.upTo = { root.at("run").get<uint64_t>(), root.at("number").get<uint64_t>() };
+        reply.upTo = { requireInteger<uint64_t>(root.at("run")), requireInteger<uint64_t>(root.at("number")) };
         reply.isFullSnapshot = root.at("whole").get<bool>();
         reply.includesReplicas = root.value("replicas", true);
         // Instances of earlier releases do not send this field.
-        reply.era = root.value("era", uint64_t { 0 });
-        reply.age = std::clamp<Millis>(Millis(root.at("age_ms").get<int64_t>()), Millis(0), kMaxStatedTime);
+        reply.era = root.contains("era") ? requireInteger<uint64_t>(root["era"]) : 0;
+        reply.age = std::clamp<Millis>(Millis(requireInteger<int64_t>(root.at("age_ms"))), Millis(0), kMaxStatedTime);
         reply.sender = root.at("sender").get<std::string>();
-        reply.following = root.at("following").get<uint32_t>();
-        reply.fleet = root.at("fleet").get<uint32_t>();
-        reply.instancesDigest = root.at("instances_digest").get<uint64_t>();
+        reply.following = requireInteger<uint32_t>(root.at("following"));
+        reply.fleet = requireInteger<uint32_t>(root.at("fleet"));
+        reply.instancesDigest = requireInteger<uint64_t>(root.at("instances_digest"));
         if (root.contains("instances"))
             reply.instances = decodeInstances(root["instances"]);
         if (root.contains("quarantines"))
             reply.quarantines = decodeQuarantines(root["quarantines"]);
         if (root.contains("facts_digest"))
-            reply.factsDigest = root["facts_digest"].get<uint64_t>();
+            reply.factsDigest = requireInteger<uint64_t>(root["facts_digest"]);
         if (root.contains("facts"))
             reply.facts = decodeFacts(root["facts"]);
         for (const json& entry : root.at("written"))
--- a/src/gateway/relay_messages.cpp
+++ b/src/gateway/relay_messages.cpp
@@ -1,6 +1,5 @@
 #include "relay_messages.h"
 
-#include "../bounded_json.h"
 #include "message_pack.h"
 
 namespace limpettrestle {
@@ -47,9 +46,9 @@
         forwarded.host = bytesOf(root.at(3));
         forwarded.headers = decodeHeaders(root.at(4));
         forwarded.body = bytesOf(root.at(5));
-        forwarded.callerTimeout = Millis(root.at(6).get<int64_t>());
-        forwarded.transitTime = Micros(root.at(7).get<int64_t>());
-        request.configVersion = root.at(8).get<uint64_t>();
+        forwarded.callerTimeout = millisOf(root.at(6));
+        forwarded.transitTime = microsOf(root.at(7));
+        request.configVersion = requireInteger<uint64_t>(root.at(8));
         if (forwarded.method.empty() || forwarded.target.empty() || forwarded.callerTimeout <= Millis::zero() || forwarded.transitTime < Micros::zero())
             return std::nullopt;
         return request;
@@ -74,9 +73,9 @@
         const json root = decodeMessagePack(bytes);
         RelayReply reply;
         RouteAnswer& answer = reply.answer;
-        answer.code = static_cast<ResultCode>(root.at(0).get<int>());
-        answer.status = root.at(1).get<int>();
-        answer.retryAfter = Millis(root.at(2).get<int64_t>());
+        answer.code = resultCodeOf(root.at(0));
+        answer.status = requireInteger<int>(root.at(1));
+        answer.retryAfter = millisOf(root.at(2));
         answer.isReplicaReply = root.at(3).get<bool>();
         answer.headers = decodeHeaders(root.at(4));
         answer.body = bytesOf(root.at(5));
@@ -84,9 +83,9 @@
         for (const json& signature : root.at(7))
             answer.partSignatures.push_back(bytesOf(signature));
         answer.missing = decodeMissing(root.at(8));
-        reply.configVersion = root.at(9).get<uint64_t>();
-        reply.callsSent = root.at(10).get<uint32_t>();
-        reply.repeats = root.at(11).get<uint32_t>();
+        reply.configVersion = requireInteger<uint64_t>(root.at(9));
+        reply.callsSent = requireInteger<uint32_t>(root.at(10));
+        reply.repeats = requireInteger<uint32_t>(root.at(11));
         if (!isHttpStatus(answer.status))
             return std::nullopt;
         return reply;
