A long keep-alive time of a replica does not end its connections

What happened: with "Keep-Alive: timeout=2200000" no connection was used twice, because the milliseconds exceeded an int and the time became negative.

Change: the time stays in seconds until it is compared, in a type that holds it.

After: the test passes.

--- a/src/gateway/replica_links.cpp
+++ b/src/gateway/replica_links.cpp
@@ -380,7 +380,7 @@
     const auto found = calls_.find(channel.call);
     if (found == calls_.end())
         return ResponseAction::Close;
-    const int keepAlive = keepAliveSeconds(response.headers);
+    const std::optional<std::chrono::seconds> keepAlive = keepAliveTimeout(response.headers);
     platform::DecodedReply decoded = platform::decodeReply(std::move(response));
     const std::string& requestId = found->second.request->requestId;
     channel.link.sendsRequestIds |= decoded.requestId.has_value();
@@ -402,8 +402,8 @@
     if (isReusable && !channel.isClosingAfterCall && !channel.unserved.isFull() && !decoded.isEncoded && link.replica->acceptsWork()) {
         channel.isIdle = true;
         channel.lastUsedAt = clock_.now();
-        if (keepAlive >= 0)
-            channel.idleTimeout = std::max(Millis(0), Millis(keepAlive * 1000) - kIdleTimeoutMargin);
+        if (keepAlive)
+            channel.idleTimeout = std::max<Millis>(Millis(0), *keepAlive - kIdleTimeoutMargin);
     } else {
         detach(channel)->socket->close();
     }
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -87,17 +87,17 @@
     out.append("\r\n");
 }
 
-int keepAliveSeconds(const std::vector<HeaderField>& headers)
+std::optional<std::chrono::seconds> keepAliveTimeout(const std::vector<HeaderField>& headers)
 {
     const std::string* value = findHeader(headers, "keep-alive");
     if (value == nullptr)
-        return -1;
+        return std::nullopt;
     for (const std::string_view token : splitList(*value)) {
         int seconds = 0;
-        if (token.starts_with(kTimeoutParameter) && parseNumber(token.substr(kTimeoutParameter.size()), seconds))
-            return seconds;
+        if (token.starts_with(kTimeoutParameter) && parseNumber(token.substr(kTimeoutParameter.size()), seconds) && seconds >= 0)
+            return std::chrono::seconds(seconds);
     }
-    return -1;
+    return std::nullopt;
 }
 
 } // namespace limpettrestle
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -5,6 +5,8 @@
 #include "limpettrestle/routing.h"
 
 #include <charconv>
+#include <chrono>
+#include <optional>
 
 namespace limpettrestle {
 
@@ -46,7 +48,7 @@
 bool allowsBody(int status);
 /// Appends "name: value" and CRLF.
 void appendHeader(std::string& out, std::string_view name, std::string_view value);
-/// Returns N of `Keep-Alive: timeout=N` in seconds; negative when absent.
-int keepAliveSeconds(const std::vector<HeaderField>& headers);
+/// Returns the time of `Keep-Alive: timeout=SECONDS`; no value when it is absent.
+std::optional<std::chrono::seconds> keepAliveTimeout(const std::vector<HeaderField>& headers);
 
 } // namespace limpettrestle
--- a/tests/gateway_failures_test.py
+++ b/tests/gateway_failures_test.py
@@ -249,6 +249,13 @@
         require(len(heads) == 3 and heads[2] == b"" and all(head.startswith(b"HTTP/1.1 204 ") for head in heads[:2]), f"{framing}: {received}")
 
 
+def long_keep_alive_keeps_connections(cluster):
+    """Replicas that keep idle connections for weeks get no more connections than others."""
+    for replica in card_replicas(cluster):
+        replica.script = lambda fields, body: encode_reply(OK, {**fields, "Keep-Alive": "timeout=2200000"}, body)
+    base.connections_are_kept(cluster)
+
+
 def evacuated_zones(gateway):
     return {entry["zone"] for entry in json.loads(Gateway.get(gateway.metrics, "/status")[2])["evacuated_zones"]}
 
@@ -334,7 +341,7 @@
 
 base.TESTS = [late_copies_reach_nobody, late_refusal_is_no_answer_to_the_repeat, stop_answers_what_was_accepted, restart_does_not_bring_back_what_left,
               malformed_messages_end_no_process, silence_does_not_end_running_work, broken_answers_are_no_success, invalid_answers_reach_nobody, body_of_a_204_reaches_nobody,
-              evacuated_zone_gets_nothing, reader_of_an_earlier_build_is_not_relied_on]
+              long_keep_alive_keeps_connections, evacuated_zone_gets_nothing, reader_of_an_earlier_build_is_not_relied_on]
 
 if __name__ == "__main__":
     sys.exit(base.main())
