A reply that another instance relays is refused if its headers cannot be sent

What callers would see while instances are replaced: an instance of an earlier build accepts a replica's reply with a space in a field name, relays it, and the instance that the caller is connected to passes it on.

Cause: relayed headers and signatures of parts are bytes in a message, and were sent as they came.

Evidence: "a relayed reply whose headers cannot be sent to a caller is refused": seven of 13 checks fail before, with names that hold spaces or control bytes, an empty name, line ends in a value and in a signature.

Change: the decoders of relayed replies and of groups check names, values and signatures by the syntax of fields. The call then ends as one that may have run.

After: the test passes.

--- a/src/gateway/gather_messages.cpp
+++ b/src/gateway/gather_messages.cpp
@@ -113,8 +113,7 @@
     try {
         const json root = decodeMessagePack(bytes);
         GroupReply reply;
-        for (const json& signature : root.at(0))
-            reply.signatures.push_back(bytesOf(signature));
+        reply.signatures = decodeSignatures(root.at(0));
         reply.missing = decodeMissing(root.at(1));
         reply.records = bytesOf(root.at(2));
         reply.callsSent = requireInteger<uint32_t>(root.at(3));
--- a/src/gateway/message_pack.cpp
+++ b/src/gateway/message_pack.cpp
@@ -1,5 +1,7 @@
 #include "message_pack.h"
 
+#include "../net/field_syntax.h"
+
 namespace limpettrestle {
 
 namespace {
@@ -42,6 +44,17 @@
     return { bytes.begin(), bytes.end() };
 }
 
+std::vector<std::string> decodeSignatures(const json& list)
+{
+    std::vector<std::string> signatures;
+    for (const json& value : list) {
+        signatures.push_back(bytesOf(value));
+        if (!isFieldValue(signatures.back()))
+            throwOutOfRange(value);
+    }
+    return signatures;
+}
+
 json encodeMissing(const std::vector<MissingPart>& missing)
 {
     json list = json::array();
--- a/src/gateway/message_pack.h
+++ b/src/gateway/message_pack.h
@@ -14,6 +14,8 @@
 std::string toMessagePack(const json& root);
 json binary(const std::string& bytes);
 std::string bytesOf(const json& value);
+/// Decodes the signatures of parts; throws also when one cannot be sent in a header.
+std::vector<std::string> decodeSignatures(const json& list);
 json encodeMissing(const std::vector<MissingPart>& missing);
 std::vector<MissingPart> decodeMissing(const json& list);
 ResultCode resultCodeOf(const json& value);
--- a/src/gateway/relay_messages.cpp
+++ b/src/gateway/relay_messages.cpp
@@ -1,7 +1,10 @@
 #include "relay_messages.h"
 
+#include "../net/field_syntax.h"
 #include "message_pack.h"
 
+#include <algorithm>
+
 namespace limpettrestle {
 
 namespace {
@@ -22,6 +25,11 @@
         return headers;
     }
 
+    bool areValid(const std::vector<HeaderField>& headers)
+    {
+        return std::all_of(headers.begin(), headers.end(), [](const HeaderField& header) { return isFieldName(header.name) && isFieldValue(header.value); });
+    }
+
     bool isHttpStatus(int status) { return status >= 200 && status <= 599; }
 
 } // namespace
@@ -80,13 +88,13 @@
         answer.headers = decodeHeaders(root.at(4));
         answer.body = bytesOf(root.at(5));
         answer.isMerged = root.at(6).get<bool>();
-        for (const json& signature : root.at(7))
-            answer.partSignatures.push_back(bytesOf(signature));
+        answer.partSignatures = decodeSignatures(root.at(7));
         answer.missing = decodeMissing(root.at(8));
         reply.configVersion = requireInteger<uint64_t>(root.at(9));
         reply.callsSent = requireInteger<uint32_t>(root.at(10));
         reply.repeats = requireInteger<uint32_t>(root.at(11));
-        if (!isHttpStatus(answer.status))
+        // An earlier build relays replies of replicas that this one does not accept.
+        if (!isHttpStatus(answer.status) || !areValid(answer.headers))
             return std::nullopt;
         return reply;
     } catch (const json::exception&) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,5 +1,6 @@
 /// Requests that an instance relays to another one, because it cannot reach the replicas that they need.
 
+#include "../src/gateway/gather_messages.h"
 #include "../src/gateway/relay_messages.h"
 #include "support/gather_bed.h"
 
@@ -408,6 +409,26 @@
     CHECK_FALSE(decodeRelayReply(encode(reply)));
 }
 
+// Guards against replies that an instance of an earlier build has accepted from a replica.
+TEST_CASE("a relayed reply whose headers cannot be sent to a caller is refused")
+{
+    for (const HeaderField& header : { HeaderField { "X Name", "1" }, HeaderField { "X-Name ", "1" }, HeaderField { "", "1" }, HeaderField { "X\x01", "1" }, HeaderField { "X-Name", "1\r\nX-Other: 2" } }) {
+        RelayReply reply = mergedReply();
+        REQUIRE(decodeRelayReply(encode(reply)));
+        reply.answer.headers = { { "X-First", "0" }, header };
+        INFO(header.name << ": " << header.value);
+        CHECK_FALSE(decodeRelayReply(encode(reply)));
+    }
+    RelayReply reply = mergedReply();
+    reply.answer.partSignatures.push_back("a\r\nX-Other: 2");
+    CHECK_FALSE(decodeRelayReply(encode(reply)));
+    GroupReply group;
+    group.signatures = { "a" };
+    REQUIRE(decodeGroupReply(encode(group)));
+    group.signatures = { "a\nX-Other: 2" };
+    CHECK_FALSE(decodeGroupReply(encode(group)));
+}
+
 // Guards against instances that are cut off from all replicas and make others of their zone believe that they are, too.
 TEST_CASE("an instance that connects to a zone ignores notices that others cannot reach it")
 {
