A reply of a backend server whose status is not 200 is not read

What callers saw from the daemon: with status 600 on every reply, searches were answered with all shards. The library that reads the replies takes any number for a status, and the daemon did not look at it.

Evidence: process test replies_with_bad_status; before, "answered: 8" of 8 shards.

Change: a reply with another status counts as truncated, like one without its header, and its connection is closed. The result of a call is in the Shard-Reply header, and backend servers answer calls with 200 only.

After: no shard is covered while the fault lasts, and all are after it.

--- a/src/daemon/backend_io.cpp
+++ b/src/daemon/backend_io.cpp
@@ -18,6 +18,8 @@
     constexpr size_t kMaxReplyBytes = 4 << 20;
     constexpr size_t kMaxIdleConnections = 8;
     constexpr int kRingRetryMicros = 500;
+    /// Status of every reply; its result is in the `Shard-Reply` header.
+    constexpr uint kReplyStatus = 200;
 
     struct Connection {
         kj::Own<kj::AsyncIoStream> stream;
@@ -108,9 +110,14 @@
                 pool.idle.push_back(kj::mv(connection));
         }
 
-        /// Sends one request and returns the body of its reply. `replyHeader` receives the
-        /// `Shard-Reply` header.
-        kj::Promise<kj::String> exchange(Connection& connection, const char* path, kj::StringPtr call, const Body& body, kj::String& replyHeader)
+        struct ReplyHead {
+            uint status = 0;
+            /// Value of the `Shard-Reply` header.
+            kj::String replyHeader;
+        };
+
+        /// Sends one request and returns the body of its reply. `head` receives what is known before.
+        kj::Promise<kj::String> exchange(Connection& connection, const char* path, kj::StringPtr call, const Body& body, ReplyHead& head)
         {
             kj::HttpHeaders headers(*table_);
             headers.set(kj::HttpHeaderId::HOST, kj::str("shard"));
@@ -120,9 +127,10 @@
             kj::Promise<void> written = size == 0 ? kj::Promise<void>(kj::READY_NOW) : request.body->write(body->data(), size);
             written = written.attach(kj::mv(request.body));
             return written.then([response = kj::mv(request.response)]() mutable { return kj::mv(response); })
-                .then([this, &replyHeader](kj::HttpClient::Response&& response) {
+                .then([this, &head](kj::HttpClient::Response&& response) {
+                    head.status = response.statusCode;
                     KJ_IF_MAYBE (value, response.headers->get(replyHeader_))
-                        replyHeader = kj::str(*value);
+                        head.replyHeader = kj::str(*value);
                     auto text = response.body->readAllText(kMaxReplyBytes);
                     return text.attach(kj::mv(response.body));
                 });
@@ -133,7 +141,7 @@
             /// A byte of the call may have reached the server.
             bool isSent = false;
             kj::Own<Connection> connection;
-            kj::String replyHeader;
+            ReplyHead head;
         };
 
         kj::Promise<void> startCall(CallBackend call)
@@ -152,13 +160,14 @@
                 callState.connection = kj::mv(connection);
                 callState.isSent = true;
                 const std::string header = backend_protocol::encodeCall(callState.call.request);
-                return this->exchange(*callState.connection, backend_protocol::kExecutePath, header.c_str(), callState.call.request.body, callState.replyHeader);
+                return this->exchange(*callState.connection, backend_protocol::kExecutePath, header.c_str(), callState.call.request.body, callState.head);
             });
             auto replyOrTimeout = io_.provider->getTimer().timeoutAfter(timeout, kj::mv(replyBody));
             return replyOrTimeout
                 .then(
                     [this, &callState, pool](kj::String&& body) {
-                        releaseConnection(*pool, kj::mv(callState.connection));
+                        if (callState.head.status == kReplyStatus)
+                            releaseConnection(*pool, kj::mv(callState.connection));
                         handleReply(callState, kj::mv(body));
                     },
                     [this, &callState](kj::Exception&& exception) {
@@ -174,8 +183,10 @@
         void handleReply(CallState& state, kj::String body)
         {
             BackendReply reply;
-            const std::string_view header(state.replyHeader.cStr(), state.replyHeader.size());
-            const ResultCode code = backend_protocol::decodeReply(header, std::string(body.cStr(), body.size()), reply);
+            const std::string_view header(state.head.replyHeader.cStr(), state.head.replyHeader.size());
+            ResultCode code = ResultCode::TruncatedMessage;
+            if (state.head.status == kReplyStatus)
+                code = backend_protocol::decodeReply(header, std::string(body.cStr(), body.size()), reply);
             if (code == ResultCode::Ok)
                 post(BackendReplied { state.call.call, std::move(reply) });
             else
@@ -192,7 +203,7 @@
             const std::string header = backend_protocol::toString(cancel.attempt);
             auto replyBody = acquireConnection(*pool).then([this, &callState, header](kj::Own<Connection>&& connection) {
                 callState.connection = kj::mv(connection);
-                return exchange(*callState.connection, backend_protocol::kCancelPath, header.c_str(), nullptr, callState.replyHeader);
+                return exchange(*callState.connection, backend_protocol::kCancelPath, header.c_str(), nullptr, callState.head);
             });
             return io_.provider->getTimer()
                 .timeoutAfter(kCallGrace / Micros(1) * kj::MICROSECONDS, kj::mv(replyBody))
--- a/standins/backend_main.cpp
+++ b/standins/backend_main.cpp
@@ -25,6 +25,9 @@
     using nlohmann::json;
 
     constexpr uint64_t kMaxBodyBytes = 1 << 20;
+    constexpr uint kOk = 200;
+    /// Above the range of statuses.
+    constexpr uint kBadStatus = 600;
 
     TimePoint now() { return std::chrono::steady_clock::now(); }
 
@@ -181,15 +184,17 @@
             const std::string header = backend_protocol::encodeReply(reply, exchange.replyBody);
             headers.set(protocol_.reply, kj::str(header.c_str()));
             applyBodyFaults(exchange);
-            auto stream = response.send(200, "OK", headers, exchange.replyBody.size());
+            const uint status = randomChance(model_.faults.badStatusShare) ? kBadStatus : kOk;
+            auto stream = response.send(status, "OK", headers, exchange.replyBody.size());
             auto written = stream->write(exchange.replyBody.data(), exchange.replyBody.size());
             return written.attach(kj::mv(stream));
         }
 
+        bool randomChance(double share) { return share > 0 && std::uniform_real_distribution<double>()(random_) < share; }
+
         /// Truncates or corrupts the body after its checksum has been computed.
         void applyBodyFaults(Exchange& exchange)
         {
-            const auto randomChance = [this](double share) { return share > 0 && std::uniform_real_distribution<double>()(random_) < share; };
             if (exchange.replyBody.size() > 1 && randomChance(model_.faults.truncateShare))
                 exchange.replyBody.resize(exchange.replyBody.size() / 2);
             if (!exchange.replyBody.empty() && randomChance(model_.faults.corruptShare))
--- a/standins/backend_model.cpp
+++ b/standins/backend_model.cpp
@@ -126,6 +126,7 @@
         { "wrong_shard_share", &BackendFaults::wrongShardShare },
         { "wrong_snapshot_share", &BackendFaults::wrongSnapshotShare },
         { "corrupt_share", &BackendFaults::corruptShare },
+        { "bad_status_share", &BackendFaults::badStatusShare },
         { "lose_reply_share", &BackendFaults::loseReplyShare },
         { "slow_factor", &BackendFaults::slowFactor },
     };
--- a/standins/backend_model.h
+++ b/standins/backend_model.h
@@ -23,6 +23,8 @@
     double wrongShardShare = 0;
     double wrongSnapshotShare = 0;
     double corruptShare = 0;
+    /// Replies with a status that is none.
+    double badStatusShare = 0;
     /// Share of submissions that are executed but whose reply is lost.
     double loseReplyShare = 0;
     /// Factor by which the service time is multiplied.
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -339,6 +339,18 @@
             require(all(row["id"].startswith(f"s{row['shard']}-") and row["id"].endswith(f"@{body['snapshot']}") for row in body["rows"]), f"{body['rows']}")
 
 
+def test_replies_with_bad_status():
+    """A reply whose status is none is no coverage, and the instances recover from it."""
+    with small_fleet(per_zone=1) as fleet:
+        fleet.wait_members(2)
+        fleet.fault(bad_status_share=1.0)
+        for instance in fleet.instances:
+            _, body = fleet.search(instance, "yard-desk")
+            require(body.get("coverage", {}).get("answered", 0) == 0, f"{body}")
+        fleet.fault(bad_status_share=0.0)
+        wait_for(lambda: fleet.search(fleet.instances[0], "yard-desk")[1].get("coverage", {}).get("complete"), 5, "complete answers")
+
+
 def test_command_line():
     """Commands, exit codes and usage errors of the command-line tool."""
     with small_fleet(per_zone=1) as fleet:
