The command-line tool takes only final statuses for responses

What operators saw: a response with status 000, 099, 600, 999 or 101 was read as the answer of an instance, and its body printed.

Cause: the library accepts any status of three digits.

Evidence: "a response whose status is not from 100 to 599 is no response to a call of the tool" fails before for these.

Change: other statuses than 200 to 599 count as an instance that cannot be reached. The reader of the platform accepts 200 only, and did before.

After: the test passes.

--- a/src/ctl/http_call.cpp
+++ b/src/ctl/http_call.cpp
@@ -17,10 +17,12 @@
         return client;
     }
 
+    bool isFinalStatus(int status) { return status >= 200 && status <= 599; }
+
     CallResult toCallResult(const httplib::Result& result)
     {
         CallResult out;
-        if (!result) {
+        if (!result || !isFinalStatus(result->status)) {
             out.code = ResultCode::PeerUnreachable;
             return out;
         }
--- a/src/ctl/http_call.h
+++ b/src/ctl/http_call.h
@@ -8,7 +8,7 @@
 
 namespace limpettrestle::ctl {
 
-/// Response to a call. `code` is `PeerUnreachable` when there was none; otherwise it is `Ok`,
+/// Response to a call. `code` is `PeerUnreachable` when there was none, or none whose status is final; otherwise it is `Ok`,
 /// regardless of the HTTP status.
 struct CallResult {
     ResultCode code = ResultCode::Ok;
