The check of responses skips small chunks as a whole

Eleven cases of lengths that are not valid, and one of small chunks, join the table; all of them were rejected before.

--- a/src/net/response_syntax.cpp
+++ b/src/net/response_syntax.cpp
@@ -49,6 +49,26 @@
         return letter >= 'a' && letter <= 'f' ? letter - 'a' + 10 : -1;
     }
 
+    /// Removes chunks of less than 16 bytes that are complete and valid from the front. Returns false if there is none.
+    /// They would take most of the time of a body that consists of them.
+    bool skipSmallChunks(std::string_view& rest)
+    {
+        constexpr std::string_view kLineEnd = "\r\n";
+        // One digit and two line ends.
+        constexpr size_t kFrameBytes = 1 + 2 * kLineEnd.size();
+        const size_t before = rest.size();
+        while (!rest.empty()) {
+            const int size = hexDigitOf(rest.front());
+            if (size <= 0 || rest.size() < kFrameBytes + static_cast<size_t>(size))
+                break;
+            const size_t dataEnd = 1 + kLineEnd.size() + static_cast<size_t>(size);
+            if (rest[1] != '\r' || rest[2] != '\n' || rest[dataEnd] != '\r' || rest[dataEnd + 1] != '\n')
+                break;
+            rest.remove_prefix(dataEnd + kLineEnd.size());
+        }
+        return rest.size() < before;
+    }
+
 } // namespace
 
 bool ResponseSyntax::check(std::string_view bytes, bool isChunked)
@@ -127,6 +147,8 @@
 
 bool ResponseSyntax::readChunkSize(std::string_view& rest)
 {
+    if (chunkBytes_ == 0 && skipSmallChunks(rest))
+        return true;
     const char c = rest.front();
     const int digit = hexDigitOf(c);
     if (digit < 0 && c != ';' && c != ' ')
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -179,7 +179,7 @@
 TEST_CASE("a body with a transfer coding other than chunks is not accepted")
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
-    for (const std::string reply : { ok + "Transfer-Encoding: gzip\r\n\r\ncoded", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\ncoded\r\n0\r\n\r\n",
+    for (const std::string& reply : { ok + "Transfer-Encoding: gzip\r\n\r\ncoded", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\ncoded\r\n0\r\n\r\n",
              ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ncoded\r\n0\r\n\r\n", ok + "Transfer-Encoding: chunked, gzip\r\n\r\ncoded",
              ok + "Transfer-Encoding: chunked, chunked\r\n\r\n5\r\ncoded\r\n0\r\n\r\n", ok + "Transfer-Encoding: \r\n\r\ncoded" }) {
         INFO(reply);
--- a/tests/support/odd_responses.h
+++ b/tests/support/odd_responses.h
@@ -68,6 +68,10 @@
     }
     responses.push_back({ "length with a space before the colon", ok + "\r\nContent-Length : 4\r\n\r\nmine and more" });
     responses.push_back({ "chunked with a space before the colon", ok + "\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nmine\r\n0\r\n\r\n" });
+    for (const char* framing : { "Content-Length: 4\r\nContent-Length: 4", "Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 4", "Content-Length: +4", "Content-Length: -4",
+             "Content-Length: 0x4", "Content-Length: 4 0", "Content-Length: four", "Content-Length: 18446744073709551620", "Content-Length: 4\r\nTransfer-Encoding: chunked",
+             "Transfer-Encoding: chunked\r\nContent-Length: 4" })
+        responses.push_back({ framing, ok + "\r\n" + framing + "\r\n\r\n4\r\nmine\r\n0\r\n\r\n" });
     for (const std::string& statusLine : { "HTTP/1.1 200 O\x01K"s, "HTTP/1.1 200 O\0K"s, "HTTP/1.1 200 O\x7fK"s, "HTTP/1.1 200 O\rK"s, "HTTP/1.1 200OK"s, "HTTP/1.1  200 OK"s,
              "HTTP/1.1\t200 OK"s, "HTTP/2.0 200 OK"s, "HTTP/9.9 200 OK"s, "HTTP/0.9 200 OK"s, "HXXX/1.1 200 OK"s, "http/1.1 200 OK"s, "ICY 200 OK"s, "200 OK"s })
         responses.push_back({ "status line " + statusLine, oddHead(statusLine) + kOddBody });
@@ -75,6 +79,7 @@
     responses.push_back({ "no LF behind the head", ok + "\r\nContent-Length: 4\r\n\rXmine" });
     responses.push_back({ "no line end behind a chunk", oddChunks("4\r\nmine0\r\n\r\n") });
     responses.push_back({ "other bytes for the line end behind a chunk", oddChunks("4\r\nmineXY0\r\n\r\n") });
+    responses.push_back({ "other bytes behind the second chunk", oddChunks("2\r\nmi\r\n2\r\nneXY0\r\n\r\n") });
     responses.push_back({ "LF alone behind a chunk", oddChunks("4\r\nmine\n0\r\n\r\n") });
     responses.push_back({ "other byte for LF behind a chunk size", oddChunks("4\rXmine\r\n0\r\n\r\n") });
     responses.push_back({ "control byte in a chunk extension", oddChunks("4;a=\x01\r\nmine\r\n0\r\n\r\n") });
@@ -101,6 +106,7 @@
         { "HTTP/1.0 until the end of the connection", "HTTP/1.0 200 OK\r\n\r\nmine" },
         { "later minor version", oddHead("HTTP/1.2 200 OK") + kOddBody },
         { "chunks", oddChunks("1\r\nm\r\n003\r\nine\r\n0\r\n\r\n") },
+        { "chunks of many sizes", oddChunks("1\r\nm\r\n01;x\r\ni\r\n1\r\nn\r\n0001\r\ne\r\n00\r\n\r\n") },
         { "chunk extensions", oddChunks("4;name=\"a b\"\r\nmine\r\n0;last\r\n\r\n") },
         { "trailers", oddChunks("4\r\nmine\r\n0\r\nX-Name: 1\r\nX-Other:\r\n\r\n") },
         { "field names of chunks in capitals", "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: Chunked\r\n\r\n4\r\nmine\r\n0\r\n\r\n" },
