A crash after a quarantine counts as a relapse at every instance

What callers saw: a search that crashes its replicas was refused with 503, and tried once more two seconds later with 502 and one more crashed replica, where all instances should refuse it with 400 for good.

Cause: each instance ends a provisional quarantine at its own maintenance run, every 250 ms. The first one to do so tries the request again, the replica crashes, and the report arrives at instances that have not ended the quarantine yet. These took it for a further early crash: the quarantine stayed provisional for two more seconds, and then they tried again. Digests don't tell certain quarantines from provisional ones, so the readers did not correct it either. Now a ledger ends a quarantine when it hears of a crash whose call was sent after the quarantine's end; the time of the call decides, not the order of the timers.

Left: an instance that misses the report of the trial altogether tries once more, 2 s later.

--- a/src/process/crash_ledger.cpp
+++ b/src/process/crash_ledger.cpp
@@ -74,6 +74,9 @@
     Suspect& suspect = suspects_[report.request];
     if (suspect.crashes.size() >= kMaxCrashes)
         forgetOldestCrash(report.request, suspect);
+    // The instance that sent the call has ended the quarantine before this one.
+    if (suspect.verdict != Verdict::None && report.sentAt + kTransportTolerance >= endOf(suspect))
+        beginTrial(report.request, suspect);
     suspect.lastCrashAt = std::max(suspect.lastCrashAt, report.endedAt);
     suspect.crashes.push_back({ report.replica, report.sentAt, report.endedAt });
     victims_[report.replica].push_back(report.request);
@@ -143,10 +146,8 @@
 {
     std::vector<RequestFingerprint> forgotten;
     for (auto& [request, suspect] : suspects_) {
-        if (suspect.verdict != Verdict::None && now >= endOf(suspect)) {
-            setVerdict(request, suspect, Verdict::None);
-            suspect.isOnTrial = true;
-        }
+        if (suspect.verdict != Verdict::None && now >= endOf(suspect))
+            beginTrial(request, suspect);
         // A request that was quarantined before is quarantined again by its next crash, so it is kept for longer.
         const std::chrono::seconds ttl = suspect.terms > 0 ? 2 * termLength(suspect.terms) : kSuspectTtl;
         if (suspect.verdict == Verdict::None && now - suspect.lastCrashAt >= ttl)
@@ -262,6 +263,12 @@
     quarantinedCount_ += isQuarantined ? 1 : -1;
 }
 
+void CrashLedger::beginTrial(RequestFingerprint request, Suspect& suspect)
+{
+    setVerdict(request, suspect, Verdict::None);
+    suspect.isOnTrial = true;
+}
+
 void CrashLedger::explainCrashes(RequestFingerprint request, const Suspect& suspect)
 {
     for (const Crash& crash : suspect.crashes) {
--- a/src/process/crash_ledger.h
+++ b/src/process/crash_ledger.h
@@ -100,6 +100,8 @@
     /// End of the quarantine.
     static TimePoint endOf(const Suspect& suspect);
     void setVerdict(RequestFingerprint request, Suspect& suspect, Verdict verdict);
+    /// Ends a quarantine, so that the next crash counts as a relapse.
+    void beginTrial(RequestFingerprint request, Suspect& suspect);
     /// Takes the crashes of a certain request off the other requests that were lost with it.
     void explainCrashes(RequestFingerprint request, const Suspect& suspect);
     void erase(RequestFingerprint request);
--- a/tests/crash_ledger_test.cpp
+++ b/tests/crash_ledger_test.cpp
@@ -167,6 +167,46 @@
     CHECK(test.ledger.standing(kOther) == RequestStanding::Clear);
 }
 
+TEST_CASE("a crash of a call that was sent after the quarantine counts as one on trial, also where the quarantine has not been ended yet")
+{
+    LedgerBed test;
+    test.lose(kGuilty, "a");
+    test.wait();
+    test.lose(kGuilty, "b");
+    SECTION("a call that was sent before the end, by an instance that did not know of the quarantine")
+    {
+        test.wait(Millis(1900));
+        test.lose(kGuilty, "c");
+        CHECK(test.ledger.standing(kGuilty) == RequestStanding::Quarantined);
+        CHECK_FALSE(test.ledger.isCertain(kGuilty));
+        CHECK(test.ledger.timeLeft(kGuilty, test.now) == std::chrono::seconds(2));
+    }
+    SECTION("a call of another instance, which had ended the quarantine")
+    {
+        test.wait(std::chrono::seconds(2) + kRunTime);
+        test.lose(kGuilty, "c");
+        CHECK(test.ledger.isCertain(kGuilty));
+        CHECK(test.ledger.quarantinedCount() == 1);
+        SECTION("likewise after a certain quarantine, so that the next one takes twice as long")
+        {
+            test.wait(std::chrono::hours(1) + kRunTime);
+            test.lose(kGuilty, "d");
+            CHECK(test.ledger.isCertain(kGuilty));
+            CHECK(test.ledger.timeLeft(kGuilty, test.now) == std::chrono::hours(2));
+        }
+    }
+    SECTION("a second request that was lost with all three replicas keeps the quarantine provisional")
+    {
+        test.lose(kOther, "a");
+        test.lose(kOther, "b");
+        test.wait(std::chrono::seconds(2) + kRunTime);
+        test.lose(kOther, "c");
+        test.lose(kGuilty, "c");
+        CHECK_FALSE(test.ledger.isCertain(kGuilty));
+        CHECK_FALSE(test.ledger.isCertain(kOther));
+    }
+}
+
 TEST_CASE("a quarantine of another instance is taken over with its age and term")
 {
     LedgerBed from;
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -111,6 +111,26 @@
     CHECK(outcome.wronglyRefused == 0);
 }
 
+// Guards against instances that hear of a crash after a quarantine before they have ended the quarantine themselves: they took the
+// crash for an early one, and tried the request again two seconds later.
+TEST_CASE("a request that crashes a replica after its quarantine is refused for good by all instances, whenever each ends quarantines")
+{
+    for (const std::string prefix : { "/one/", "/all/" }) {
+        INFO(prefix);
+        CrashFleet fleet({ .instances = 8, .maintenancePeriod = Millis(250) });
+        const std::string target = prefix + std::string(CrashFleet::kCrash);
+        size_t instance = 0;
+        const auto isCertain = [](const auto& bed) { return bed->crashLedger.quarantinedCount() > 0 && bed->crashLedger.quarantines(1, bed->clock.now()).front().term > 0; };
+        for (int step = 0; step < 300 && std::none_of(fleet.beds.begin(), fleet.beds.end(), isCertain); ++step) {
+            fleet.start(++instance % fleet.beds.size(), target);
+            fleet.runFor(Millis(20));
+        }
+        // The time of a notice, rounded up.
+        fleet.runFor(Millis(10));
+        CHECK(std::all_of(fleet.beds.begin(), fleet.beds.end(), isCertain));
+    }
+}
+
 TEST_CASE("instances that hear from nobody each stop sending a crashing request after the allowed crashes and retries")
 {
     CrashFleet fleet({ .instances = 2, .noticeDelay = Millis(-1) });
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -17,6 +17,8 @@
         size_t cardReplicas = 6;
         /// Time that a notice takes between instances; negative when none arrives.
         Millis noticeDelay { 3 };
+        /// Interval at which an instance ends quarantines. Each instance does so at another time of it.
+        Millis maintenancePeriod { 1 };
         uint64_t seed = 1;
     };
 
@@ -52,10 +54,9 @@
     void runFor(Millis time)
     {
         for (Millis step(0); step < time; step += Millis(1)) {
-            for (const auto& bed : beds) {
+            for (const auto& bed : beds)
                 bed->runFor(Millis(1));
-                bed->crashLedger.expire(now());
-            }
+            endQuarantines();
             restartReplicas();
             runCalls();
             exchangeReports();
@@ -126,6 +127,15 @@
         std::vector<RequestFingerprint> cleared;
     };
 
+    void endQuarantines()
+    {
+        for (size_t i = 0; i < beds.size(); ++i) {
+            const auto phase = options_.maintenancePeriod * static_cast<int64_t>(i) / static_cast<int64_t>(beds.size());
+            if ((now().time_since_epoch() + phase) % options_.maintenancePeriod < Millis(1))
+                beds[i]->crashLedger.expire(now());
+        }
+    }
+
     void restartReplicas()
     {
         for (auto& [id, replica] : replicas_) {
