A connection reads 8 kB in a turn of the loop

Cause: a read took up to 64 kB, and libuv repeats it up to 32 times in a turn while the buffer is filled. Chunks of one byte take 0.3 ms for 64 kB to parse, so that one turn over 200 such connections took 60 ms and more, and a request needs several turns. Now a connection reads 8 kB in a turn: after a read that fills the buffer the next one gets none, and libuv comes back in the next turn. Callers' connections have the same share.

Two new tests fail on the code before: one turn read 150,528 bytes of a reply, and 4,856 pipelined requests of one burst, where 16 kB (528 requests) are allowed; now both pass.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,7 +1,5 @@
 #include "http_client.h"
 
-#include "stream_io.h"
-
 #include <algorithm>
 #include <array>
 #include <climits>
@@ -123,16 +121,17 @@
     uv_read_start(reinterpret_cast<uv_stream_t*>(&socket_), onAllocate, onRead);
 }
 
-void HttpClientConnection::onAllocate(uv_handle_t* /*handle*/, size_t /*suggested*/, uv_buf_t* buffer)
+void HttpClientConnection::onAllocate(uv_handle_t* handle, size_t /*suggested*/, uv_buf_t* buffer)
 {
-    *buffer = sharedReadBuffer();
+    *buffer = static_cast<HttpClientConnection*>(handle->data)->readShare_.nextBuffer();
 }
 
 void HttpClientConnection::onRead(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer)
 {
     auto& self = *static_cast<HttpClientConnection*>(stream->data);
-    if (count == 0 || self.isClosing_)
+    if (count == 0 || count == UV_ENOBUFS || self.isClosing_)
         return;
+    self.readShare_.noteRead(count);
     if (count < 0) {
         self.onReadEnd(count != UV_EOF || !isGracefulClose(stream));
         return;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -5,6 +5,7 @@
 #include "http_message.h"
 #include "reply_memory.h"
 #include "response_syntax.h"
+#include "stream_io.h"
 
 #include <http_parser.h>
 #include <uv.h>
@@ -111,6 +112,7 @@
     uv_tcp_t socket_;
     uv_timer_t connectTimer_;
     uv_connect_t connectRequest_;
+    ReadShare readShare_;
     http_parser parser_;
     ResponseSyntax syntax_;
     HttpResponse response_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -132,13 +132,14 @@
 
     static Connection& self(http_parser* parser) { return *static_cast<Connection*>(parser->data); }
 
-    static void onAllocate(uv_handle_t* /*handle*/, size_t /*suggested*/, uv_buf_t* buffer) { *buffer = sharedReadBuffer(); }
+    static void onAllocate(uv_handle_t* handle, size_t /*suggested*/, uv_buf_t* buffer) { *buffer = static_cast<Connection*>(handle->data)->readShare_.nextBuffer(); }
 
     static void onRead(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer)
     {
         auto& connection = *static_cast<Connection*>(stream->data);
-        if (count == 0 || connection.state_ == State::Closed)
+        if (count == 0 || count == UV_ENOBUFS || connection.state_ == State::Closed)
             return;
+        connection.readShare_.noteRead(count);
         if (count < 0)
             connection.close();
         else
@@ -380,6 +381,7 @@
     HttpServer* server_;
     const uint64_t id_;
     uv_tcp_t socket_;
+    ReadShare readShare_;
     http_parser parser_;
     HttpRequest request_;
     State state_ = State::Idle;
--- a/src/net/stream_io.cpp
+++ b/src/net/stream_io.cpp
@@ -4,12 +4,15 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace limpettrestle {
 
 namespace {
 
-    constexpr size_t kReadBufferBytes = 65536;
+    /// Bytes that a socket reads in one turn of the loop. Bodies in chunks of one byte, the slowest to parse, take some 5 us per KB: with larger
+    /// shares, 200 connections that send them would delay the others by more than 10 ms a turn.
+    constexpr size_t kReadShareBytes = 8192;
 
     struct QueuedWrite {
         uv_write_t request;
@@ -28,12 +31,20 @@
 
 } // namespace
 
-uv_buf_t sharedReadBuffer()
+uv_buf_t ReadShare::nextBuffer()
 {
-    static std::array<char, kReadBufferBytes> buffer;
+    static std::array<char, kReadShareBytes> buffer;
+    if (std::exchange(isUsedUp_, false))
+        return uv_buf_init(nullptr, 0);
     return uv_buf_init(buffer.data(), buffer.size());
 }
 
+void ReadShare::noteRead(ssize_t count)
+{
+    // After a read that fills the buffer, libuv asks for the next one in the same turn; after any other, it waits for the next turn.
+    isUsedUp_ = count == static_cast<ssize_t>(kReadShareBytes);
+}
+
 WriteResult writeOrQueue(uv_stream_t* stream, const std::string& head, const std::string& body, int& pending)
 {
     std::array<uv_buf_t, 2> parts = { uv_buf_init(const_cast<char*>(head.data()), static_cast<unsigned>(head.size())),
--- a/src/net/stream_io.h
+++ b/src/net/stream_io.h
@@ -7,8 +7,18 @@
 
 namespace limpettrestle {
 
-/// Returns the read buffer shared by all sockets of the loop. Its content is valid until the next read.
-uv_buf_t sharedReadBuffer();
+/// Limits what a socket reads in one turn of the loop, so that a peer that never stops sending does not delay the others.
+class ReadShare {
+public:
+    /// Returns the buffer for the next read, which all sockets of the loop share. Its content is valid until the next read. It is empty when
+    /// the share of this turn is used up: the loop then reports UV_ENOBUFS and reads on in the next turn.
+    uv_buf_t nextBuffer();
+    /// Must be called after each read with its result.
+    void noteRead(ssize_t count);
+
+private:
+    bool isUsedUp_ = false;
+};
 
 enum class WriteResult : int {
     /// All bytes were written to the socket.
--- a/tests/pipelined_requests_test.cpp
+++ b/tests/pipelined_requests_test.cpp
@@ -4,6 +4,7 @@
 #include "../src/process/system_clock.h"
 #include "support/raw_peer.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -94,8 +95,9 @@
     std::thread thread_;
 };
 
-/// Serves one caller that sends `bytes` until the connection is closed; returns all that the caller received.
-std::string serveCaller(const std::string& bytes)
+/// Serves one caller that sends `bytes` until the connection is closed; returns all that the caller received. `largestTurn` is set to the
+/// number of requests that were received in one turn of the loop at most.
+std::string serveCaller(const std::string& bytes, size_t* largestTurn = nullptr)
 {
     const int port = freePort();
     uv_loop_t loop;
@@ -116,7 +118,10 @@
                 &poll, [](uv_timer_t*) {}, 5, 5);
             while (!caller.isDone) {
                 server.checkTimeouts();
+                const size_t before = handler.requests;
                 uv_run(&loop, UV_RUN_ONCE);
+                if (largestTurn != nullptr)
+                    *largestTurn = std::max(*largestTurn, handler.requests - before);
             }
             received = caller.received;
             uv_close(reinterpret_cast<uv_handle_t*>(&poll), nullptr);
@@ -200,6 +205,22 @@
     checkBurst("/none/first", 10000);
 }
 
+// Guards against a caller that keeps the loop busy for as long as it sends.
+TEST_CASE("requests sent in one burst are read in small shares")
+{
+    constexpr size_t kMaxShareBytes = 16 << 10;
+    constexpr size_t kRequests = 10000;
+    const std::string request = requestFor("/none");
+    std::string burst;
+    for (size_t i = 0; i < kRequests; ++i)
+        burst += request;
+    size_t largestTurn = 0;
+    const std::string received = serveCaller(burst + requestFor("/last", "Connection: close\r\n"), &largestTurn);
+    CHECK(received.find("/last") != std::string::npos);
+    CHECK(largestTurn > 0);
+    CHECK(largestTurn <= kMaxShareBytes / request.size());
+}
+
 // Guards against a request that is cut although a replica runs it, because its caller has sent many more behind it.
 TEST_CASE("more requests than are buffered wait in the sockets until the one before them is answered")
 {
--- a/tests/reply_limit_test.cpp
+++ b/tests/reply_limit_test.cpp
@@ -5,6 +5,7 @@
 #include "support/endless_peer.h"
 #include "support/raw_peer.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <malloc.h>
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr size_t kMaxBodyBytes = 64 << 10;
+/// Bytes of one connection that a turn of the loop may read.
+constexpr size_t kMaxShareBytes = 16 << 10;
 
 struct ReplyListener final : HttpClientListenerI {
     explicit ReplyListener(bool awaitsNext = false, size_t maxBodyBytes = kMaxBodyBytes)
@@ -150,6 +153,34 @@
     CHECK(peer.closedByOther() == 1);
 }
 
+// Guards against connections that keep the loop busy for as long as their peers send: 200 of them delayed all other requests.
+TEST_CASE("a reply without end is read in small shares")
+{
+    constexpr int kTurns = 20;
+    EndlessPeer peer(kOk + "\r\n", repeat("z", 65536), 0);
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    ReplyListener listener(false, size_t { 64 } << 20);
+    HttpClientConnection* connection = HttpClientConnection::open(&loop, "127.0.0.1", peer.port(), Millis(1000), listener);
+    const ReplyMemory& memory = ReplyMemory::ofProcess();
+    REQUIRE(runUntil(loop, [&] { return memory.bytes() > 0; }));
+    size_t largestShare = 0;
+    for (int turn = 0; turn < kTurns && !listener.isDone; ++turn) {
+        // The peer fills the buffers of the sockets meanwhile.
+        usleep(5000);
+        const size_t before = memory.bytes();
+        uv_run(&loop, UV_RUN_NOWAIT);
+        largestShare = std::max(largestShare, memory.bytes() - std::min(before, memory.bytes()));
+    }
+    CHECK(largestShare > 0);
+    CHECK(largestShare <= kMaxShareBytes);
+    CHECK_FALSE(listener.isDone);
+    if (!listener.isDone)
+        connection->close();
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+}
+
 TEST_CASE("a reply within its limits is complete")
 {
     const std::vector<std::string> replies = {
